--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GO ?= go
+BIN := bin
+export CGO_ENABLED := 1
+
+.PHONY: build check test race demo bench generate clean
+
+build:
+	$(GO) build -o $(BIN)/ ./apps/...
+
+check:
+	@files=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')); \
+	  if [ -n "$$files" ]; then echo "gofmt needed: $$files"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test:
+	$(GO) test -count=1 ./...
+
+generate:
+	$(GO) build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=github.com/dogwoodhatch/dogwoodhatch wire/*.proto
+
+clean:
+	rm -rf $(BIN)
