--- /dev/null
+++ b/admission/config.go
@@ -0,0 +1,110 @@
+package admission
+
+import "time"
+
+// Config holds the settings of a Controller. Start from DefaultConfig.
+type Config struct {
+	// InitialLimit is the concurrency limit, in calls, before anything was
+	// learned. A high value overloads small backend servers at first, a low
+	// value costs some hundred milliseconds of growth on large ones.
+	InitialLimit int
+
+	// MinLimit is the lowest concurrency limit, in calls. It keeps latency
+	// samples coming when a backend server is in trouble; a high value keeps
+	// load on a backend server that needs relief.
+	MinLimit int
+
+	// MaxLimit is the highest concurrency limit, in calls.
+	MaxLimit int
+
+	// GrowTolerance is the ratio of latency to baseline below which the limit
+	// grows. A high value tolerates more queueing inside the backend server.
+	GrowTolerance float64
+
+	// CutTolerance is the ratio of latency to baseline above which the limit
+	// is cut. A low value reacts sooner but also to noise.
+	CutTolerance float64
+
+	// WindowSamples and WindowDuration are the least number of samples and the
+	// least time between two changes of the limit. Small values react sooner
+	// and follow noise.
+	WindowSamples  int
+	WindowDuration time.Duration
+
+	// BucketDuration is the time over which one baseline value is averaged,
+	// and Buckets is the number of values whose minimum is the baseline.
+	BucketDuration time.Duration
+	Buckets        int
+
+	// ProbeInterval is the time after which a saturated limit is lowered for a
+	// moment, so that the latency without queueing is measured again. A short
+	// interval costs throughput, a long one lets the baseline drift.
+	ProbeInterval time.Duration
+
+	// QueueLimit is the largest number of waiting calls.
+	QueueLimit int
+
+	// MaxQueueDelay is the longest predicted wait at which a call that is not
+	// critical is queued. Long queues absorb bursts but delay recovery.
+	MaxQueueDelay time.Duration
+
+	// SlackFraction is the part of the time to the deadline, less the service
+	// time, that the predicted wait may use up. A low value refuses earlier,
+	// a value near 1 leaves nothing for errors of the prediction.
+	SlackFraction float64
+
+	// MinShare is the fraction of starts that goes to less important waiting
+	// calls as long as no more important call would miss its deadline.
+	MinShare float64
+
+	// RampDuration is the longest time that the ramp limits a backend server
+	// after a cold start.
+	RampDuration time.Duration
+
+	// RampStart is the fraction of the known concurrency at which a ramp
+	// begins.
+	RampStart float64
+
+	// MinRetryAfter and MaxRetryAfter bound the time after which a refused
+	// caller is told to come back, before jitter.
+	MinRetryAfter time.Duration
+	MaxRetryAfter time.Duration
+
+	// Disabled turns mechanisms off for comparison.
+	Disabled Mechanisms
+}
+
+// Mechanisms names parts of the Controller that can be turned off, for
+// benchmarks and tests. The zero value leaves all of them on.
+type Mechanisms struct {
+	Limit        bool // use MaxLimit in place of the learned limit
+	Order        bool // first in, first out in place of priority and deadline
+	Displacement bool // refuse the newcomer when the queue is full
+	Ramp         bool // give the whole limit to a cold backend server
+	DeadlineDrop bool // run and queue calls that cannot finish in time
+	Share        bool // guarantee nothing to less important calls
+}
+
+// DefaultConfig returns settings for backend servers of 8 to 140 slots.
+func DefaultConfig() Config {
+	return Config{
+		InitialLimit:   8,
+		MinLimit:       4,
+		MaxLimit:       1024,
+		GrowTolerance:  1.25,
+		CutTolerance:   1.8,
+		WindowSamples:  20,
+		WindowDuration: 100 * time.Millisecond,
+		BucketDuration: 500 * time.Millisecond,
+		Buckets:        20,
+		ProbeInterval:  5 * time.Second,
+		QueueLimit:     512,
+		MaxQueueDelay:  500 * time.Millisecond,
+		SlackFraction:  0.6,
+		MinShare:       0.02,
+		RampDuration:   10 * time.Second,
+		RampStart:      0.25,
+		MinRetryAfter:  250 * time.Millisecond,
+		MaxRetryAfter:  10 * time.Second,
+	}
+}
--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,435 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+)
+
+const (
+	minDrainShare     = 0.05 // of the throughput, counted on for the least important calls
+	retryJitterMin    = 0.5
+	retryJitterSpread = 1.0
+)
+
+type ticketState uint8
+
+const (
+	stateNew ticketState = iota
+	stateQueued
+	stateRunning
+	stateDone
+)
+
+// Ticket is one call at the target node. The owner fills in the exported fields
+// before Offer, must not change them afterwards, and must not offer it twice.
+type Ticket struct {
+	Class    string        // class of the profile; latency is learned per class
+	Priority call.Priority // importance
+	Deadline time.Time     // the answer is worthless afterwards
+	Data     any           // handle of the owner
+
+	state ticketState
+	seq   uint64
+	epoch uint32
+}
+
+// VerdictKind is the decision about an offered call.
+type VerdictKind uint8
+
+// Decisions about an offered call.
+const (
+	Run     VerdictKind = iota + 1 // hand it to the backend server now
+	Queued                         // an Action follows later
+	Refused                        // it was not run and will not be
+)
+
+// String returns the name used in logs.
+func (k VerdictKind) String() string {
+	switch k {
+	case Run:
+		return "run"
+	case Queued:
+		return "queued"
+	case Refused:
+		return "refused"
+	}
+	return "unset"
+}
+
+// Verdict is the answer to Offer. Reason and RetryAfter are set on a refusal.
+type Verdict struct {
+	Kind       VerdictKind
+	Reason     call.Reason
+	RetryAfter time.Duration
+}
+
+// Action is what the owner has to do with a queued ticket: hand the call to the
+// backend server, or answer its caller with a refusal.
+type Action struct {
+	Ticket     *Ticket
+	Start      bool // false: refused
+	Reason     call.Reason
+	RetryAfter time.Duration
+}
+
+// Sample is how the execution of a call ended.
+type Sample struct {
+	Latency  time.Duration // from the start to the end, sub-calls included
+	Shed     bool          // the backend server refused it under load
+	Failed   bool          // it broke off; Latency is a lower bound
+	Canceled bool          // the caller went away; Latency is a lower bound
+}
+
+// Controller admits calls to one backend server.
+type Controller struct {
+	cfg      Config
+	rng      *rand.Rand
+	lat      *latencies
+	limiter  *limiter
+	ramp     ramp
+	queue    queue
+	rates    rates
+	inFlight int
+	credit   float64 // earned starts of less important calls
+	leaving  bool
+}
+
+// New returns a Controller for a backend server of which nothing is known. rng
+// jitters the Retry-After times.
+func New(cfg Config, rng *rand.Rand, now time.Time) *Controller {
+	c := &Controller{cfg: cfg, rng: rng, lat: newLatencies()}
+	c.limiter = newLimiter(&c.cfg, c.lat, now)
+	c.queue.limit = cfg.QueueLimit
+	c.queue.fifo = cfg.Disabled.Order
+	c.ramp.begin(&c.cfg, float64(cfg.InitialLimit), now)
+	return c
+}
+
+// Offer decides about a new call. The actions concern other tickets: those
+// displaced by t, and waiting ones that can start now.
+func (c *Controller) Offer(t *Ticket, now time.Time) (Verdict, []Action) {
+	c.rates.offered[prioIndex(t.Priority)].add(now)
+	if reason := c.refusal(t, now); reason != call.ReasonNone {
+		return c.refuseNew(t, reason, now), nil
+	}
+	if c.queue.size == 0 && c.inFlight < c.limit(now) {
+		c.run(t, now)
+		return Verdict{Kind: Run}, nil
+	}
+	displaced, ok := c.makeRoom(t)
+	if !ok {
+		return c.refuseNew(t, call.ReasonQueueFull, now), nil
+	}
+	var actions []Action
+	if displaced != nil {
+		actions = append(actions, c.refuseQueued(displaced, call.ReasonQueueFull, now))
+	}
+	t.state = stateQueued
+	c.queue.push(t)
+	c.limiter.observe(c.inFlight, c.queue.size, c.limit(now))
+	return c.settle(t, append(actions, c.dispatch(now)...))
+}
+
+// settle turns an action about t itself into its verdict.
+func (c *Controller) settle(t *Ticket, actions []Action) (Verdict, []Action) {
+	for i, a := range actions {
+		if a.Ticket != t {
+			continue
+		}
+		rest := append(actions[:i:i], actions[i+1:]...)
+		if a.Start {
+			return Verdict{Kind: Run}, rest
+		}
+		return Verdict{Kind: Refused, Reason: a.Reason, RetryAfter: a.RetryAfter}, rest
+	}
+	return Verdict{Kind: Queued}, actions
+}
+
+// refusal returns the reason to refuse t on arrival, if there is one.
+func (c *Controller) refusal(t *Ticket, now time.Time) call.Reason {
+	if c.leaving {
+		return call.ReasonLeaving
+	}
+	if c.cfg.Disabled.DeadlineDrop {
+		return call.ReasonNone
+	}
+	if !t.Deadline.After(now) {
+		return call.ReasonDeadline
+	}
+	if c.inFlight < c.cfg.MinLimit {
+		return call.ReasonNone // keeps samples coming when all looks hopeless
+	}
+	slack := t.Deadline.Sub(now) - c.lat.typical(t.Class)
+	if slack <= 0 {
+		return call.ReasonDeadline
+	}
+	if c.inFlight < c.limit(now) && c.queue.size == 0 {
+		return call.ReasonNone
+	}
+	wait := c.wait(c.queue.ahead(t)+1, t.Priority, now)
+	if wait > time.Duration(c.cfg.SlackFraction*float64(slack)) {
+		return call.ReasonDeadline
+	}
+	if t.Priority != call.PriorityCritical && wait > c.cfg.MaxQueueDelay {
+		return call.ReasonQueueFull
+	}
+	return call.ReasonNone
+}
+
+// throughput returns the expected completions per second at the present limit.
+func (c *Controller) throughput(now time.Time) float64 {
+	return float64(c.limit(now)) / c.lat.mean().Seconds()
+}
+
+// wait returns the expected time until n calls of priority p have left the
+// queue, while more important calls keep arriving as they do now.
+func (c *Controller) wait(n int, p call.Priority, now time.Time) time.Duration {
+	total := c.throughput(now)
+	rate := max(total-c.rates.startedAbove(p, now), minDrainShare*total)
+	return toDuration(float64(n) / rate)
+}
+
+// makeRoom reports whether t may be queued, and the ticket that has to go.
+func (c *Controller) makeRoom(t *Ticket) (*Ticket, bool) {
+	if !c.queue.full() {
+		return nil, true
+	}
+	last := c.queue.last()
+	if last == nil || c.cfg.Disabled.Displacement || !c.before(t, last) {
+		return nil, false
+	}
+	c.queue.remove(last)
+	return last, true
+}
+
+// before reports whether the newcomer t is more important than the queued u.
+func (c *Controller) before(t, u *Ticket) bool {
+	if c.queue.fifo {
+		return false
+	}
+	if t.Priority != u.Priority {
+		return t.Priority < u.Priority
+	}
+	return t.Deadline.Before(u.Deadline)
+}
+
+// Done records the end of a running call and starts waiting ones.
+func (c *Controller) Done(t *Ticket, s Sample, now time.Time) []Action {
+	if t.state != stateRunning {
+		return nil
+	}
+	t.state = stateDone
+	c.limiter.observe(c.inFlight, c.queue.size, c.limit(now))
+	c.inFlight--
+	c.limiter.sample(t.Class, t.epoch, s, now)
+	return c.dispatch(now)
+}
+
+// Cancel removes a queued ticket whose caller has gone. No action concerns t.
+func (c *Controller) Cancel(t *Ticket, now time.Time) []Action {
+	if t.state != stateQueued || !c.queue.remove(t) {
+		return nil
+	}
+	t.state = stateDone
+	return c.dispatch(now)
+}
+
+// Tick refuses waiting calls that cannot finish in time and starts others. It
+// is to be called about every 10 ms.
+func (c *Controller) Tick(now time.Time) []Action {
+	coping := c.limiter.ratio < c.cfg.CutTolerance
+	c.ramp.step(&c.cfg, c.queue.size > 0, coping, now)
+	return append(c.dropLate(now), c.dispatch(now)...)
+}
+
+// dropLate refuses the waiting calls that cannot finish before their deadline.
+func (c *Controller) dropLate(now time.Time) []Action {
+	if c.queue.size == 0 || c.cfg.Disabled.DeadlineDrop {
+		return nil
+	}
+	rate := c.throughput(now)
+	probing := c.inFlight < c.cfg.MinLimit
+	dropped := c.queue.filter(func(t *Ticket, ahead int) bool {
+		if probing {
+			return t.Deadline.After(now)
+		}
+		wait := toDuration(float64(ahead) / rate)
+		return !c.late(t, now.Add(wait))
+	})
+	return c.refuseAll(dropped, call.ReasonDeadline, now)
+}
+
+// late reports whether t, started at the given time, would miss its deadline.
+func (c *Controller) late(t *Ticket, start time.Time) bool {
+	return start.Add(c.lat.typical(t.Class)).After(t.Deadline)
+}
+
+// Leave begins a graceful shutdown: all waiting and all new calls are refused,
+// running calls go on.
+func (c *Controller) Leave(now time.Time) []Action {
+	c.leaving = true
+	all := c.queue.filter(func(*Ticket, int) bool { return false })
+	return c.refuseAll(all, call.ReasonLeaving, now)
+}
+
+// Hint tells the number of slots that the backend server reports. It may lag or
+// be wrong: it speeds up learning and bounds nothing. slots <= 0 is ignored.
+func (c *Controller) Hint(slots int, now time.Time) {
+	if slots <= 0 {
+		return
+	}
+	c.limiter.hint(slots)
+}
+
+// Restart tells that the backend server came back cold.
+func (c *Controller) Restart(now time.Time) {
+	c.lat.reset()
+	c.limiter.nextEpoch(now)
+	c.ramp.begin(&c.cfg, c.limiter.limit, now)
+}
+
+// SetDisabled changes which mechanisms are off. Order can change only while the
+// queue is empty, and is left as it is otherwise.
+func (c *Controller) SetDisabled(m Mechanisms) {
+	if c.queue.size > 0 {
+		m.Order = c.queue.fifo
+	}
+	c.cfg.Disabled = m
+	c.queue.fifo = m.Order
+}
+
+// Pressure returns the present load.
+func (c *Controller) Pressure(now time.Time) call.Pressure {
+	p := c.rates.admitted(now)
+	return call.Pressure{
+		Limit:         c.limit(now),
+		InFlight:      c.inFlight,
+		Queued:        c.queue.size,
+		AdmitPriority: p,
+		QueueDelay:    c.queueDelay(p, now),
+		ServiceTime:   c.lat.mean(),
+	}
+}
+
+// queueDelay returns the expected wait of a new call of priority p.
+func (c *Controller) queueDelay(p call.Priority, now time.Time) time.Duration {
+	ahead := c.queue.upTo(p)
+	if ahead == 0 && c.inFlight < c.limit(now) {
+		return 0
+	}
+	return c.wait(ahead+1, p, now)
+}
+
+// limit returns the concurrency limit in force.
+func (c *Controller) limit(now time.Time) int {
+	limit := c.limiter.current()
+	if c.cfg.Disabled.Limit {
+		limit = c.cfg.MaxLimit
+	}
+	return c.ramp.bound(&c.cfg, limit, now)
+}
+
+// dispatch starts waiting calls while the limit allows.
+func (c *Controller) dispatch(now time.Time) []Action {
+	var actions []Action
+	for c.queue.size > 0 && c.inFlight < c.limit(now) {
+		t := c.next(now)
+		c.queue.remove(t)
+		if c.hopeless(t, now) {
+			actions = append(actions, c.refuseQueued(t, call.ReasonDeadline, now))
+			continue
+		}
+		c.run(t, now)
+		actions = append(actions, Action{Ticket: t, Start: true})
+	}
+	return actions
+}
+
+// hopeless reports whether t should not be started any more.
+func (c *Controller) hopeless(t *Ticket, now time.Time) bool {
+	if c.cfg.Disabled.DeadlineDrop {
+		return false
+	}
+	if c.inFlight < c.cfg.MinLimit {
+		return !t.Deadline.After(now)
+	}
+	return c.late(t, now)
+}
+
+// next returns the ticket to start, in queue order but for the small share of
+// less important ones.
+func (c *Controller) next(now time.Time) *Ticket {
+	first := c.queue.first()
+	lesser := c.queue.firstBelow(first.Priority)
+	if lesser == nil || c.cfg.Disabled.Share {
+		return first
+	}
+	c.credit += c.cfg.MinShare
+	if c.credit < 1 {
+		return first
+	}
+	c.credit = 0
+	if c.hurts(lesser, now) {
+		return first
+	}
+	return lesser
+}
+
+// hurts reports whether starting lesser first would make a more important
+// waiting call late.
+func (c *Controller) hurts(lesser *Ticket, now time.Time) bool {
+	rate := c.throughput(now)
+	ahead := 1
+	for _, s := range c.queue.byPrio[:c.queue.level(lesser.Priority)] {
+		for _, t := range s {
+			ahead++
+			slack := t.Deadline.Sub(now) - c.lat.typical(t.Class)
+			wait := toDuration(float64(ahead) / rate)
+			if wait > time.Duration(c.cfg.SlackFraction*float64(slack)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// run marks t as being executed.
+func (c *Controller) run(t *Ticket, now time.Time) {
+	t.state = stateRunning
+	t.epoch = c.limiter.epoch
+	c.inFlight++
+	c.rates.started[prioIndex(t.Priority)].add(now)
+	c.limiter.observe(c.inFlight, c.queue.size, c.limit(now))
+}
+
+func (c *Controller) refuseNew(t *Ticket, reason call.Reason, now time.Time) Verdict {
+	a := c.refuseQueued(t, reason, now)
+	return Verdict{Kind: Refused, Reason: a.Reason, RetryAfter: a.RetryAfter}
+}
+
+// refuseQueued returns the refusal of a ticket that is in no queue any more.
+func (c *Controller) refuseQueued(t *Ticket, reason call.Reason, now time.Time) Action {
+	t.state = stateDone
+	c.rates.refused[prioIndex(t.Priority)].add(now)
+	return Action{Ticket: t, Reason: reason, RetryAfter: c.retryAfter(t.Priority, now)}
+}
+
+func (c *Controller) refuseAll(tickets []*Ticket, reason call.Reason, now time.Time) []Action {
+	var actions []Action
+	for _, t := range tickets {
+		actions = append(actions, c.refuseQueued(t, reason, now))
+	}
+	return actions
+}
+
+// retryAfter returns when a refused caller should come back. It grows with the
+// queue delay and with the ratio of offered to executed calls, so that the
+// returning callers fit, and is jittered so that they do not come at once.
+func (c *Controller) retryAfter(p call.Priority, now time.Time) time.Duration {
+	base := c.cfg.MinRetryAfter + c.queueDelay(p, now)
+	base = time.Duration(float64(base) * c.rates.overload(now))
+	base = min(base, c.cfg.MaxRetryAfter)
+	return time.Duration(float64(base) * (retryJitterMin + retryJitterSpread*c.rng.Float64()))
+}
--- /dev/null
+++ b/admission/doc.go
@@ -0,0 +1,10 @@
+// Package admission decides at the target node whether a call for the local
+// backend server runs now, waits in a queue, or is refused.
+//
+// A Controller combines four mechanisms: a concurrency limit learned from
+// latency and refusals, a bounded queue ordered by priority and deadline, early
+// refusal of work that cannot finish before its deadline, and a ramp after a
+// cold start. All decisions are pure: the current time and the random source
+// are passed in, nothing blocks, and no goroutine is started. A Controller is
+// not safe for concurrent use.
+package admission
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,141 @@
+package admission
+
+import (
+	"slices"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+)
+
+// queue is a bounded queue ordered by priority, then by earliest deadline, then
+// by arrival. Each priority is a sorted slice; with some hundred entries,
+// inserting by binary search is cheaper than a heap that also has to find its
+// last element.
+type queue struct {
+	limit  int
+	fifo   bool
+	byPrio [call.NumPriorities][]*Ticket
+	size   int
+	seq    uint64
+}
+
+// level returns the slice that holds tickets of priority p.
+func (q *queue) level(p call.Priority) int {
+	if q.fifo {
+		return 0
+	}
+	return int(min(p, call.NumPriorities-1))
+}
+
+// compare orders tickets within one level.
+func (q *queue) compare(a, b *Ticket) int {
+	if !q.fifo {
+		if c := a.Deadline.Compare(b.Deadline); c != 0 {
+			return c
+		}
+	}
+	switch {
+	case a.seq < b.seq:
+		return -1
+	case a.seq > b.seq:
+		return 1
+	}
+	return 0
+}
+
+// push adds t regardless of the limit.
+func (q *queue) push(t *Ticket) {
+	q.seq++
+	t.seq = q.seq
+	l := q.level(t.Priority)
+	i, _ := slices.BinarySearchFunc(q.byPrio[l], t, q.compare)
+	q.byPrio[l] = slices.Insert(q.byPrio[l], i, t)
+	q.size++
+}
+
+// full reports whether the queue has no room.
+func (q *queue) full() bool { return q.size >= q.limit }
+
+// first returns the next ticket of the most important level that has one.
+func (q *queue) first() *Ticket {
+	for _, s := range q.byPrio {
+		if len(s) > 0 {
+			return s[0]
+		}
+	}
+	return nil
+}
+
+// firstBelow returns the next ticket of the least important level, if that
+// level is less important than priority p.
+func (q *queue) firstBelow(p call.Priority) *Ticket {
+	for l := len(q.byPrio) - 1; l > q.level(p); l-- {
+		if len(q.byPrio[l]) > 0 {
+			return q.byPrio[l][0]
+		}
+	}
+	return nil
+}
+
+// last returns the ticket that is displaced first.
+func (q *queue) last() *Ticket {
+	for l := len(q.byPrio) - 1; l >= 0; l-- {
+		if s := q.byPrio[l]; len(s) > 0 {
+			return s[len(s)-1]
+		}
+	}
+	return nil
+}
+
+// remove takes t out and reports whether it was queued.
+func (q *queue) remove(t *Ticket) bool {
+	l := q.level(t.Priority)
+	i, ok := slices.BinarySearchFunc(q.byPrio[l], t, q.compare)
+	if !ok || q.byPrio[l][i] != t {
+		return false
+	}
+	q.byPrio[l] = slices.Delete(q.byPrio[l], i, i+1)
+	q.size--
+	return true
+}
+
+// ahead returns the number of queued tickets that would run before t.
+func (q *queue) ahead(t *Ticket) int {
+	probe := Ticket{Deadline: t.Deadline, seq: q.seq + 1}
+	l := q.level(t.Priority)
+	n, _ := slices.BinarySearchFunc(q.byPrio[l], &probe, q.compare)
+	for _, s := range q.byPrio[:l] {
+		n += len(s)
+	}
+	return n
+}
+
+// upTo returns the number of queued tickets of priority p or more important.
+func (q *queue) upTo(p call.Priority) int {
+	n := 0
+	for _, s := range q.byPrio[:q.level(p)+1] {
+		n += len(s)
+	}
+	return n
+}
+
+// filter removes the tickets for which keep is false and returns them. keep is
+// called in queue order with the number of tickets kept so far.
+func (q *queue) filter(keep func(t *Ticket, ahead int) bool) []*Ticket {
+	var dropped []*Ticket
+	kept := 0
+	for l, s := range q.byPrio {
+		out := s[:0]
+		for _, t := range s {
+			if !keep(t, kept) {
+				dropped = append(dropped, t)
+				continue
+			}
+			out = append(out, t)
+			kept++
+		}
+		clear(s[len(out):])
+		q.byPrio[l] = out
+	}
+	q.size = kept
+	return dropped
+}
--- /dev/null
+++ b/admission/rates.go
@@ -0,0 +1,78 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+)
+
+const (
+	rateMemory     = time.Second // time constant of the decaying counters
+	minRateEvents  = 2.0         // offers below which a priority counts as admitted
+	closedFraction = 0.9         // refused fraction at which a priority counts as not admitted
+)
+
+// counter counts events with exponential decay.
+type counter struct {
+	value float64
+	at    time.Time
+}
+
+func (c *counter) add(now time.Time) {
+	c.value = c.read(now) + 1
+	c.at = now
+}
+
+func (c *counter) read(now time.Time) float64 {
+	if c.value == 0 {
+		return 0
+	}
+	age := max(0, now.Sub(c.at))
+	return c.value * math.Exp(-age.Seconds()/rateMemory.Seconds())
+}
+
+// perSecond returns the event rate.
+func (c *counter) perSecond(now time.Time) float64 {
+	return c.read(now) / rateMemory.Seconds()
+}
+
+// rates holds the recent rates of offers, starts and refusals.
+type rates struct {
+	offered [call.NumPriorities]counter
+	refused [call.NumPriorities]counter
+	started [call.NumPriorities]counter
+}
+
+func prioIndex(p call.Priority) int { return int(min(p, call.NumPriorities-1)) }
+
+// startedAbove returns the rate of starts more important than p, per second.
+func (r *rates) startedAbove(p call.Priority, now time.Time) float64 {
+	sum := 0.0
+	for i := range prioIndex(p) {
+		sum += r.started[i].perSecond(now)
+	}
+	return sum
+}
+
+// overload returns the ratio of offers to starts, at least 1.
+func (r *rates) overload(now time.Time) float64 {
+	var offered, started float64
+	for i := range call.NumPriorities {
+		offered += r.offered[i].read(now)
+		started += r.started[i].read(now)
+	}
+	return max(1, offered/max(1, started))
+}
+
+// admitted returns the least important priority of which not nearly all calls
+// are refused.
+func (r *rates) admitted(now time.Time) call.Priority {
+	for p := call.NumPriorities - 1; p > 0; p-- {
+		offered := r.offered[p].read(now)
+		if offered < minRateEvents || r.refused[p].read(now) < closedFraction*offered {
+			return call.Priority(p)
+		}
+	}
+	return call.PriorityCritical
+}
