Routing at the caller's node and the retry allowance, first version

Package routing chooses a member by own calls in flight and told pressure: two random members by weight within the region, spill to other regions within a token bucket, ejection with single probes, and a throttle per priority.

--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,67 @@
+package retry
+
+import "time"
+
+// BudgetConfig sets the retry budget towards one target service.
+type BudgetConfig struct {
+	// Ratio is the number of retries that one success pays for. A higher value
+	// rides out more failures and adds more load to an overloaded service: the
+	// load stays below 1+Ratio times the load of first attempts.
+	Ratio float64
+
+	// MinPerSecond is the number of retries per second that need no success, so
+	// that a service called rarely can still be retried.
+	MinPerSecond float64
+
+	// Burst is the largest number of retries that can be saved up. A higher value
+	// rides out a longer failure and sends more retries at its start.
+	Burst float64
+}
+
+// DefaultBudgetConfig returns the settings for a service within one region.
+func DefaultBudgetConfig() BudgetConfig {
+	return BudgetConfig{Ratio: 0.1, MinPerSecond: 1, Burst: 10}
+}
+
+// Budget is a token bucket for the retries towards one service: successes
+// deposit and retries withdraw. It starts full and is not safe for concurrent
+// use.
+type Budget struct {
+	cfg    BudgetConfig
+	tokens float64
+	filled time.Time
+}
+
+// NewBudget returns a full budget.
+func NewBudget(cfg BudgetConfig) *Budget {
+	return &Budget{cfg: cfg, tokens: cfg.Burst}
+}
+
+// Deposit records a success.
+func (b *Budget) Deposit(now time.Time) {
+	b.fill(now)
+	b.tokens = min(b.tokens+b.cfg.Ratio, b.cfg.Burst)
+}
+
+// Withdraw spends one retry and reports false if the budget has none.
+func (b *Budget) Withdraw(now time.Time) bool {
+	b.fill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// fill adds what the minimum rate has brought since the last call.
+func (b *Budget) fill(now time.Time) {
+	if b.filled.IsZero() {
+		b.filled = now
+	}
+	elapsed := now.Sub(b.filled)
+	if elapsed <= 0 {
+		return
+	}
+	b.filled = now
+	b.tokens = min(b.tokens+elapsed.Seconds()*b.cfg.MinPerSecond, b.cfg.Burst)
+}
--- /dev/null
+++ b/routing/pick.go
@@ -0,0 +1,333 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+)
+
+// Query describes the call that needs a member.
+type Query struct {
+	Priority call.Priority
+	Deadline time.Time // zero if there is none
+	Exclude  []string  // nodes tried before
+}
+
+// Choice is the member that an attempt is sent to, and why.
+type Choice struct {
+	Member        Member
+	Rule          string  // one of the Rule constants
+	Score         float64 // expected response time in seconds, lower is better
+	RunnerUp      string  // node of the other candidate of the random pair, if any
+	RunnerUpScore float64
+	Candidates    int // members that the pair was drawn from
+}
+
+// Rules that a Choice names.
+const (
+	RuleLeastLoaded   = "least_loaded"   // the better of two members of the own region
+	RuleOnlyOne       = "only_one"       // no other member could be chosen
+	RuleSpill         = "spill"          // the own region is saturated
+	RuleRemote        = "remote"         // the own region has no member to use
+	RuleProbe         = "probe"          // an ejected member is tried
+	RuleThrottleProbe = "throttle_probe" // sent although the service refuses such calls
+	RuleSuspect       = "suspect"        // only suspect members are left
+	RuleLastResort    = "last_resort"    // only failing members are left
+)
+
+// Refusal says why no member was chosen. It is zero if one was.
+type Refusal struct {
+	Reason     call.Reason
+	RetryAfter time.Duration
+}
+
+// pool sorts the members that may be chosen.
+type pool struct {
+	near, far   []*state // healthy
+	nearEjected []*state
+	farEjected  []*state
+	nearSuspect []*state
+	farSuspect  []*state
+}
+
+// Pick chooses the member for an attempt. The reasons of a refusal are no_member,
+// throttled and deadline; the request then ran nowhere.
+func (r *Router) Pick(q Query, now time.Time) (Choice, Refusal) {
+	p := r.pool(q, now)
+	if p.empty() {
+		return r.refuse(call.ReasonNoMember)
+	}
+	probing := false
+	if r.throttle.refuse(&r.cfg, q.Priority, r.rng, now) {
+		if !r.throttle.probe(&r.cfg, q.Priority, r.rng, now) {
+			r.throttle.refused(&r.cfg, q.Priority, now)
+			return r.refuse(call.ReasonThrottled)
+		}
+		probing = true
+	}
+	c, refusal := r.choose(&p, q, probing, now)
+	if refusal == (Refusal{}) {
+		r.throttle.sent(&r.cfg, q.Priority, now)
+	}
+	return c, refusal
+}
+
+// pool sorts the members that the query does not rule out.
+func (r *Router) pool(q Query, now time.Time) pool {
+	var p pool
+	for _, s := range r.live {
+		if s.leaving(&r.cfg, now) || slices.Contains(q.Exclude, s.Node) {
+			continue
+		}
+		s.settle(&r.cfg, now)
+		p.add(s, s.near(&r.cfg))
+	}
+	return p
+}
+
+// add puts a member into its list.
+func (p *pool) add(s *state, near bool) {
+	list := &p.far
+	switch {
+	case s.ejected && near:
+		list = &p.nearEjected
+	case s.ejected:
+		list = &p.farEjected
+	case s.Suspect && near:
+		list = &p.nearSuspect
+	case s.Suspect:
+		list = &p.farSuspect
+	case near:
+		list = &p.near
+	}
+	*list = append(*list, s)
+}
+
+// empty reports whether no member may be chosen.
+func (p *pool) empty() bool {
+	return len(p.near)+len(p.far)+len(p.nearEjected)+len(p.farEjected)+len(p.nearSuspect)+len(p.farSuspect) == 0
+}
+
+// choose tries the lists in order of preference.
+func (r *Router) choose(p *pool, q Query, probing bool, now time.Time) (Choice, Refusal) {
+	if s := r.dueProbe(p.nearEjected, len(p.near) > 0, q, now); s != nil {
+		return r.choice(s, nil, RuleProbe, 1, now)
+	}
+	if len(p.near) > 0 {
+		return r.chooseNear(p, q, probing, now)
+	}
+	if len(p.far) > 0 {
+		return r.chooseFar(p, q, probing, now)
+	}
+	if suspects := slices.Concat(p.nearSuspect, p.farSuspect); len(suspects) > 0 {
+		return r.chooseLast(suspects, RuleSuspect, q, now)
+	}
+	failing := slices.Concat(p.nearEjected, p.farEjected)
+	failing = filter(failing, func(s *state) bool { return s.inFlight < r.cfg.LastResortInFlight })
+	return r.chooseLast(failing, RuleLastResort, q, now)
+}
+
+// chooseNear chooses in the own region, or spills if that is saturated.
+func (r *Router) chooseNear(p *pool, q Query, probing bool, now time.Time) (Choice, Refusal) {
+	admitting := filter(p.near, func(s *state) bool { return s.admits(&r.cfg, q.Priority, now) })
+	free := filter(admitting, func(s *state) bool { return !s.saturated(&r.cfg, now) })
+	if len(free) > 0 {
+		r.spill.stayed(&r.cfg)
+		return r.best(free, RuleLeastLoaded, q, now)
+	}
+	if c, ok := r.trySpill(p, q, now); ok {
+		return c, Refusal{}
+	}
+	if len(admitting) > 0 {
+		r.spill.stayed(&r.cfg)
+		return r.best(admitting, RuleLeastLoaded, q, now)
+	}
+	return r.chooseRefusing(p.near, q, probing, now)
+}
+
+// trySpill chooses in another region if a member there serves the call and the
+// budget pays for it.
+func (r *Router) trySpill(p *pool, q Query, now time.Time) (Choice, bool) {
+	if s := r.dueProbe(p.farEjected, true, q, now); s != nil && r.takeSpill(q, now) {
+		c, _ := r.choice(s, nil, RuleProbe, 1, now)
+		return c, true
+	}
+	serving := filter(p.far, func(s *state) bool { return spillServes(&r.cfg, s, q, now) })
+	if len(serving) == 0 || !r.takeSpill(q, now) {
+		return Choice{}, false
+	}
+	c, refusal := r.best(serving, RuleSpill, q, now)
+	return c, refusal == Refusal{}
+}
+
+// takeSpill pays for a call past saturated members.
+func (r *Router) takeSpill(q Query, now time.Time) bool {
+	return r.spill.spill.take(reserve(&r.cfg, q.Priority), now)
+}
+
+// takeRemote pays for a call to another region while the own has no member.
+func (r *Router) takeRemote(q Query, now time.Time) bool {
+	return r.spill.remote.take(reserve(&r.cfg, q.Priority), now)
+}
+
+// chooseFar chooses in other regions because the own has no member to use.
+func (r *Router) chooseFar(p *pool, q Query, probing bool, now time.Time) (Choice, Refusal) {
+	if !r.takeRemote(q, now) {
+		return r.refuse(call.ReasonThrottled)
+	}
+	if s := r.dueProbe(p.farEjected, true, q, now); s != nil {
+		return r.choice(s, nil, RuleProbe, 1, now)
+	}
+	admitting := filter(p.far, func(s *state) bool { return s.admits(&r.cfg, q.Priority, now) })
+	if len(admitting) == 0 {
+		return r.chooseRefusing(p.far, q, probing, now)
+	}
+	free := filter(admitting, func(s *state) bool { return !s.saturated(&r.cfg, now) })
+	if len(free) > 0 {
+		admitting = free
+	}
+	return r.best(admitting, RuleRemote, q, now)
+}
+
+// chooseRefusing sends a call to members that told that they refuse its
+// priority, as a probe, or by chance as their word ages. Other calls are
+// refused here.
+func (r *Router) chooseRefusing(list []*state, q Query, probing bool, now time.Time) (Choice, Refusal) {
+	aged := 0.0
+	for _, s := range list {
+		aged = max(aged, now.Sub(s.pressureAt).Seconds()/r.cfg.PressureMaxAge.Seconds())
+	}
+	passes := probing || r.rng.Float64() < aged*aged
+	if !passes && !r.throttle.probe(&r.cfg, q.Priority, r.rng, now) {
+		return r.refuse(call.ReasonThrottled)
+	}
+	return r.best(list, RuleThrottleProbe, q, now)
+}
+
+// chooseLast chooses among members that are suspect or failing.
+func (r *Router) chooseLast(list []*state, rule string, q Query, now time.Time) (Choice, Refusal) {
+	near := filter(list, func(s *state) bool { return s.near(&r.cfg) })
+	if len(near) > 0 {
+		list = near
+	} else if len(list) > 0 && !r.takeRemote(q, now) {
+		return r.refuse(call.ReasonThrottled)
+	}
+	if len(list) == 0 {
+		return r.refuse(call.ReasonNoMember)
+	}
+	return r.best(list, rule, q, now)
+}
+
+// dueProbe returns the ejected member whose probe is due for the longest time,
+// or nil. Critical calls probe late, unless there is no healthy member.
+func (r *Router) dueProbe(ejected []*state, healthy bool, q Query, now time.Time) *state {
+	if healthy && q.Priority == call.PriorityCritical {
+		now = now.Add(-r.cfg.ProbeGrace)
+	}
+	var due *state
+	for _, s := range ejected {
+		if !s.probeDue(now) || s.Suspect {
+			continue
+		}
+		if due == nil || s.ejectedUntil.Before(due.ejectedUntil) {
+			due = s
+		}
+	}
+	return due
+}
+
+// best draws two members of the list by weight and chooses the one with the
+// lower score, after Mitzenmacher, The Power of Two Choices in Randomized Load
+// Balancing, 2001. Members that cannot answer before the deadline are left out.
+func (r *Router) best(list []*state, rule string, q Query, now time.Time) (Choice, Refusal) {
+	list = filter(list, func(s *state) bool { return s.inTime(&r.cfg, q, now) })
+	if len(list) == 0 {
+		return r.refuse(call.ReasonDeadline)
+	}
+	if len(list) == 1 {
+		if rule == RuleLeastLoaded {
+			rule = RuleOnlyOne
+		}
+		return r.choice(list[0], nil, rule, 1, now)
+	}
+	a, b := r.drawTwo(list, now)
+	if b.score(&r.cfg, now) < a.score(&r.cfg, now) {
+		a, b = b, a
+	}
+	return r.choice(a, b, rule, len(list), now)
+}
+
+// drawTwo draws two different members, each with a chance by its weight.
+func (r *Router) drawTwo(list []*state, now time.Time) (*state, *state) {
+	weights := make([]float64, len(list))
+	for i, s := range list {
+		weights[i] = max(s.weight(&r.cfg, now), leastWeight)
+	}
+	first := r.draw(weights)
+	weights[first] = 0
+	return list[first], list[r.draw(weights)]
+}
+
+// leastWeight keeps every member in the draw.
+const leastWeight = 1e-6
+
+// draw returns an index with a chance by its weight.
+func (r *Router) draw(weights []float64) int {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	x := r.rng.Float64() * sum
+	last := 0
+	for i, w := range weights {
+		if w == 0 {
+			continue
+		}
+		last = i
+		if x -= w; x < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// inTime reports whether the member may answer before the deadline, judged by
+// the fastest answer that it gave of late and by the wait that it told.
+func (s *state) inTime(cfg *Config, q Query, now time.Time) bool {
+	if q.Deadline.IsZero() {
+		return true
+	}
+	least := max(s.distance(cfg), s.fastest.least())
+	if s.fresh(cfg, now) && q.Priority >= s.pressure.AdmitPriority {
+		least += s.queueDelay(cfg, now)
+	}
+	return now.Add(least).Before(q.Deadline)
+}
+
+// choice returns a Choice of s over runnerUp, which may be nil.
+func (r *Router) choice(s, runnerUp *state, rule string, candidates int, now time.Time) (Choice, Refusal) {
+	c := Choice{Member: s.Member, Rule: rule, Score: s.score(&r.cfg, now), Candidates: candidates}
+	if runnerUp != nil {
+		c.RunnerUp = runnerUp.Node
+		c.RunnerUpScore = runnerUp.score(&r.cfg, now)
+	}
+	return c, Refusal{}
+}
+
+// refuse returns a Refusal with a spread wait, so that callers do not come back
+// together.
+func (r *Router) refuse(reason call.Reason) (Choice, Refusal) {
+	return Choice{}, Refusal{Reason: reason, RetryAfter: spread(r.cfg.RetryAfter, r.rng)}
+}
+
+// filter returns the members that keep reports true for.
+func filter(list []*state, keep func(*state) bool) []*state {
+	var kept []*state
+	for _, s := range list {
+		if keep(s) {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
