Membership state machine and its wire messages

Nodes need one view of all members within 4 KB/s each, without a server that holds the list. Heartbeats for each entry cost 180 KB/s at 30,000 members and one store lease for each node exceeds the write rate of the store, so members of a region probe each other at constant cost and spread events by gossip. Digests compared with random peers repair what gossip lost.

Only nodes of the own region declare a member dead.

Loss, cuts and bytes per second are not proved yet.

--- /dev/null
+++ b/membership/exchange.go
@@ -0,0 +1,369 @@
+package membership
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
+)
+
+// phase is how far this node has fetched the list.
+type phase uint8
+
+const (
+	phaseInterests phase = iota // members of the services of Config.Interests
+	phasePages                  // all members in pages
+	phaseSteady                 // digests are compared now and then
+)
+
+// syncer compares the list with random peers, one exchange at a time.
+type syncer struct {
+	phase  phase
+	cursor uint32
+	next   time.Time
+	pull   budget
+	flight flight
+	leaves []uint32 // leaves that differ from those of peer
+	peer   *entry
+}
+
+// flight is the exchange in progress.
+type flight struct {
+	peer  string
+	until time.Time
+	kind  exchangeKind
+}
+
+// exchangeKind says what an exchange asks for.
+type exchangeKind uint8
+
+const (
+	askPage exchangeKind = iota + 1
+	askDigests
+	askLeaves
+)
+
+// Waits between exchanges.
+const (
+	pageInterval  = 200 * time.Millisecond  // between pages and leaves, if the budget allows
+	retryInterval = 1000 * time.Millisecond // after a failed or busy exchange
+	diffShare     = 4                       // the next comparison comes this much sooner after a difference
+)
+
+// maxLeavesPerExchange limits the leaves compared in one exchange.
+const maxLeavesPerExchange = 128
+
+func (s *syncer) init(t *Table, now time.Time) {
+	s.pull = newBudget(t.cfg.PullBytesPerSecond, t.cfg.BurstBytes, now)
+	s.next = now
+	s.phase = phasePages
+	if len(t.cfg.Interests) > 0 {
+		s.phase = phaseInterests
+	}
+}
+
+// Synced reports whether the list was fetched once since the start.
+func (t *Table) Synced() bool { return t.syncer.phase == phaseSteady }
+
+// ExchangeRequest returns the request that is due and the member to send it to.
+// The adapter calls it on each tick and answers each request with
+// ExchangeReply or ExchangeFailed.
+func (t *Table) ExchangeRequest(now time.Time) (peer Member, payload []byte, ok bool) {
+	s := &t.syncer
+	if t.self.State == Left || now.Before(s.next) || now.Before(s.flight.until) {
+		return Member{}, nil, false
+	}
+	if s.pull.room(now) <= 0 || t.out.room(now) <= 0 {
+		return Member{}, nil, false
+	}
+	e, kind := t.nextExchange()
+	if e == nil {
+		return Member{}, nil, false
+	}
+	payload = encode(t.exchangeRequest(kind))
+	s.flight = flight{peer: e.ID, until: now.Add(t.cfg.ExchangeTimeout), kind: kind}
+	t.spendExchange(len(payload), now)
+	t.stats.ExchangesSent++
+	return e.Member, payload, true
+}
+
+// nextExchange chooses the peer and what to ask.
+func (t *Table) nextExchange() (*entry, exchangeKind) {
+	s := &t.syncer
+	if s.phase != phaseSteady {
+		return t.pagePeer(), askPage
+	}
+	if len(s.leaves) > 0 && s.peer != nil && !s.peer.State.gone() {
+		return s.peer, askLeaves
+	}
+	s.leaves = nil
+	s.peer = t.digestPeer()
+	return s.peer, askDigests
+}
+
+// pagePeer returns a random member, if possible of the own region, to fetch
+// the list from.
+func (t *Table) pagePeer() *entry {
+	ok := func(e *entry) bool { return e != t.self && e.State == Alive }
+	for _, region := range append([]string{t.self.Region}, t.otherRegions()...) {
+		if picked := t.index.pick(t.rng, region, 1, ok); len(picked) > 0 {
+			return picked[0]
+		}
+	}
+	return nil
+}
+
+// digestPeer returns a random member to compare with: mostly one of the own
+// region, rarely one of another. The share of other regions falls with the size
+// of the own one, so that the traffic between regions does not grow with it.
+func (t *Table) digestPeer() *entry {
+	home := t.index.regions[t.self.Region]
+	share := t.cfg.CrossExchangeShare / float64(max(len(home), 1))
+	others := t.otherRegions()
+	draw := t.rng.Float64()
+	if len(home) < 2 {
+		draw *= share * float64(len(others))
+	}
+	for _, region := range others {
+		if draw < share {
+			return first(t.index.pick(t.rng, region, 1, t.notSelf))
+		}
+		draw -= share
+	}
+	return first(t.index.pick(t.rng, t.self.Region, 1, t.notSelf))
+}
+
+// exchangeRequest returns the message that asks for kind.
+func (t *Table) exchangeRequest(kind exchangeKind) *wire.MembershipRequest {
+	s := &t.syncer
+	req := &wire.MembershipRequest{From: t.self.ID}
+	switch kind {
+	case askPage:
+		req.Page = true
+		req.Cursor = s.cursor
+		if s.phase == phaseInterests {
+			req.Interests = t.cfg.Interests
+		}
+	case askDigests:
+		req.Groups = t.index.groups[:]
+	case askLeaves:
+		req.Leaves, req.Records = t.takeLeaves()
+	}
+	return req
+}
+
+// takeLeaves returns the next leaves to compare and the own records in them.
+func (t *Table) takeLeaves() ([]uint32, []*wire.MemberRecord) {
+	s := &t.syncer
+	var leaves []uint32
+	var records []*wire.MemberRecord
+	room := t.cfg.PageBytes
+	for len(s.leaves) > 0 && room > 0 && len(leaves) < maxLeavesPerExchange {
+		leaf := s.leaves[0]
+		s.leaves = s.leaves[1:]
+		leaves = append(leaves, leaf)
+		for _, e := range t.index.leaves[leaf] {
+			r := exchangeRecord(e)
+			room -= recordSize(r)
+			records = append(records, r)
+		}
+	}
+	return leaves, records
+}
+
+// ExchangeReply takes in the reply of a peer. Malformed input gives an error of
+// kind errs.Invalid.
+func (t *Table) ExchangeReply(peerID string, payload []byte, now time.Time) error {
+	s := &t.syncer
+	if s.flight.peer != peerID {
+		return nil
+	}
+	kind := s.flight.kind
+	reply := &wire.MembershipReply{}
+	if err := decode(payload, reply); err != nil {
+		t.stats.Malformed++
+		t.ExchangeFailed(peerID, now)
+		return err
+	}
+	s.flight = flight{}
+	t.lastHeard = now
+	s.pull.room(now)
+	s.pull.spend(len(payload) + exchangeOverhead)
+	if reply.Busy {
+		s.next = now.Add(jitter(t.rng, retryInterval))
+		return nil
+	}
+	src := fromExchange
+	if kind == askPage {
+		src = fromPage
+	}
+	err := t.applyAll(reply.Records, src, now)
+	t.afterReply(kind, reply, now)
+	return err
+}
+
+// afterReply moves on to the next step.
+func (t *Table) afterReply(kind exchangeKind, reply *wire.MembershipReply, now time.Time) {
+	s := &t.syncer
+	s.next = now.Add(pageInterval)
+	switch kind {
+	case askPage:
+		s.cursor = reply.Next
+		if reply.Done || reply.Next == 0 {
+			s.cursor = 0
+			s.phase++
+		}
+	case askDigests:
+		s.leaves = t.differingLeaves(reply.Groups)
+		if len(s.leaves) == 0 {
+			s.next = now.Add(jitter(t.rng, t.cfg.ExchangeInterval))
+		}
+	case askLeaves:
+		if len(s.leaves) == 0 {
+			s.next = now.Add(jitter(t.rng, t.cfg.ExchangeInterval/diffShare))
+		}
+	}
+}
+
+// differingLeaves returns the leaves whose digests differ from the peer's.
+func (t *Table) differingLeaves(groups []*wire.GroupDigest) []uint32 {
+	var leaves []uint32
+	for _, g := range groups {
+		if g.Group >= numGroups || len(g.Leaves) != leavesPerGroup {
+			t.stats.Malformed++
+			continue
+		}
+		for i, digest := range g.Leaves {
+			leaf := g.Group*leavesPerGroup + uint32(i)
+			if t.index.digests[leaf] != digest {
+				leaves = append(leaves, leaf)
+			}
+		}
+	}
+	return leaves
+}
+
+// ExchangeFailed tells that a peer did not reply.
+func (t *Table) ExchangeFailed(peerID string, now time.Time) {
+	s := &t.syncer
+	if s.flight.peer != peerID {
+		return
+	}
+	s.flight = flight{}
+	s.leaves = nil
+	s.next = now.Add(jitter(t.rng, retryInterval))
+}
+
+// Exchange answers the request of a peer. Malformed input is counted and gives
+// an error of kind errs.Invalid.
+func (t *Table) Exchange(payload []byte, now time.Time) ([]byte, error) {
+	req := &wire.MembershipRequest{}
+	if err := decode(payload, req); err != nil {
+		t.stats.Malformed++
+		return nil, err
+	}
+	err := t.applyAll(req.Records, fromExchange, now)
+	reply := &wire.MembershipReply{From: t.self.ID}
+	switch {
+	case t.out.room(now) <= 0:
+		reply.Busy = true
+		t.stats.BusyReplies++
+	case req.Page:
+		t.fillPage(req, reply)
+	case len(req.Leaves) > 0:
+		t.fillLeaves(req, reply)
+	default:
+		t.fillGroups(req, reply)
+	}
+	b := encode(reply)
+	t.spendExchange(len(b), now)
+	return b, err
+}
+
+// spendExchange takes an exchange message out of the budget.
+func (t *Table) spendExchange(n int, now time.Time) {
+	t.out.room(now)
+	t.out.spend(n + exchangeOverhead)
+	t.stats.BytesSent += uint64(n + exchangeOverhead)
+}
+
+// fillPage adds the records of the leaves from the cursor on, up to the size of
+// a page.
+func (t *Table) fillPage(req *wire.MembershipRequest, reply *wire.MembershipReply) {
+	wanted := map[string]bool{}
+	for _, service := range req.Interests {
+		wanted[service] = true
+	}
+	room := t.cfg.PageBytes
+	leaf := req.Cursor
+	for ; leaf < numLeaves && room > 0; leaf++ {
+		for _, e := range t.index.leaves[leaf] {
+			if e.State.gone() || (len(wanted) > 0 && !wanted[e.Service]) {
+				continue
+			}
+			r := exchangeRecord(e)
+			room -= recordSize(r)
+			reply.Records = append(reply.Records, r)
+		}
+	}
+	reply.Next = leaf
+	reply.Done = leaf >= numLeaves
+}
+
+// fillLeaves adds the records of the wanted leaves that the sender does not hold
+// in the same state.
+func (t *Table) fillLeaves(req *wire.MembershipRequest, reply *wire.MembershipReply) {
+	held := map[string]*wire.MemberRecord{}
+	for _, r := range req.Records {
+		held[r.Id] = r
+	}
+	room := t.cfg.PageBytes
+	for _, leaf := range req.Leaves {
+		if leaf >= numLeaves || room <= 0 {
+			continue
+		}
+		for _, e := range t.index.leaves[leaf] {
+			r := exchangeRecord(e)
+			if h := held[e.ID]; h != nil && h.Incarnation == r.Incarnation && h.State == r.State {
+				continue
+			}
+			room -= recordSize(r)
+			reply.Records = append(reply.Records, r)
+		}
+	}
+}
+
+// exchangeRecord returns the form of e for a peer that may not know it. A
+// suspect is told as alive, since only probes and gossip of its region count.
+func exchangeRecord(e *entry) *wire.MemberRecord {
+	if e.State != Suspect {
+		return record(e)
+	}
+	r := fullRecord(e)
+	r.State = wire.MemberState_MEMBER_STATE_ALIVE
+	return r
+}
+
+// fillGroups adds the digests of the leaves of differing groups, from a random
+// group on, up to the size of a page.
+func (t *Table) fillGroups(req *wire.MembershipRequest, reply *wire.MembershipReply) {
+	if len(req.Groups) != numGroups {
+		return
+	}
+	start := t.rng.IntN(numGroups)
+	for i := range numGroups {
+		g := (start + i) % numGroups
+		if req.Groups[g] == t.index.groups[g] {
+			continue
+		}
+		digest := &wire.GroupDigest{
+			Group:  uint32(g),
+			Leaves: t.index.digests[g*leavesPerGroup : (g+1)*leavesPerGroup],
+		}
+		reply.Groups = append(reply.Groups, digest)
+		if proto.Size(reply) >= t.cfg.PageBytes-leavesPerGroup*4 {
+			return
+		}
+	}
+}
