--- a/call/call.go
+++ b/call/call.go
@@ -93,6 +93,15 @@
 // ID identifies an attempt, a chain or a submission.
 type ID = uuid.UUID
 
+// ParseID reads the 16 bytes of an ID.
+func ParseID(b []byte) (ID, error) {
+	id, err := uuid.FromBytes(b)
+	if err != nil {
+		return ID{}, fmt.Errorf("identity of %d bytes instead of 16: %w", len(b), err)
+	}
+	return id, nil
+}
+
 // Chain is what travels with a request through its whole call chain.
 type Chain struct {
 	ID         ID
--- /dev/null
+++ b/kernel/drain.go
@@ -0,0 +1,88 @@
+package kernel
+
+import (
+	"context"
+	"sync"
+)
+
+// Drain tracks the graceful shutdown of a node: whether it is leaving and how
+// many requests it still carries.
+type Drain struct {
+	mu       sync.Mutex
+	leaving  bool
+	inFlight int
+	idle     chan struct{} // closed when leaving and nothing is in flight
+}
+
+func newDrain() *Drain { return &Drain{idle: make(chan struct{})} }
+
+// Enter counts a request in. It reports false when the node is leaving; the
+// request must then be refused and Exit not be called.
+func (d *Drain) Enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leaving {
+		return false
+	}
+	d.inFlight++
+	return true
+}
+
+// EnterLeaving counts a request in that belongs to work already in flight,
+// also while the node is leaving.
+func (d *Drain) EnterLeaving() {
+	d.mu.Lock()
+	d.inFlight++
+	d.mu.Unlock()
+}
+
+// Exit counts a request out.
+func (d *Drain) Exit() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inFlight--
+	d.check()
+}
+
+// Leave starts the graceful shutdown.
+func (d *Drain) Leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving = true
+	d.check()
+}
+
+func (d *Drain) check() {
+	if !d.leaving || d.inFlight > 0 {
+		return
+	}
+	select {
+	case <-d.idle:
+	default:
+		close(d.idle)
+	}
+}
+
+// Leaving tells whether Leave was called.
+func (d *Drain) Leaving() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leaving
+}
+
+// InFlight returns the number of requests that the node carries.
+func (d *Drain) InFlight() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inFlight
+}
+
+// Wait returns when the node is leaving and idle, or with the error of ctx.
+func (d *Drain) Wait(ctx context.Context) error {
+	select {
+	case <-d.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,128 @@
+// Package kernel holds what the plug-ins of a node share and runs them in
+// order. A plug-in registers itself under a name and a stage; it finds its
+// neighbours through the small interfaces in this package.
+package kernel
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/settings"
+)
+
+// Kernel is the shared state of one node. The interface fields are set by the
+// plug-ins during setup and are read only after Start.
+type Kernel struct {
+	Settings *settings.Settings
+	Log      *zap.Logger
+	Metrics  metrics.Registry
+	Control  *Control
+	NodeID   string // unique per process start
+
+	Policies   Policies
+	Fleet      Fleet
+	Transport  Transport
+	Target     Target
+	Caller     Caller
+	Executions Executions
+	Backend    Backend
+	Exchanges  *Exchanges
+	Drain      *Drain
+
+	plugins []named
+}
+
+type named struct {
+	name   string
+	plugin Plugin
+}
+
+// Plugin is a part of a node with a life cycle.
+type Plugin interface {
+	// Start begins serving; it returns once the plug-in is ready.
+	Start(ctx context.Context) error
+	// Stop ends serving; it is called in the reverse order of Start.
+	Stop(ctx context.Context) error
+}
+
+// Setup creates a plug-in and fills the kernel fields that it provides.
+type Setup func(k *Kernel) (Plugin, error)
+
+// Stage orders the setup of plug-ins.
+type Stage int
+
+// Stages: a plug-in may use during setup what earlier stages provide.
+const (
+	StageState     Stage = iota // configuration and membership
+	StageTransport              // between nodes
+	StageTarget                 // beside the backend server
+	StageCaller                 // beside the caller
+	StageListen                 // listeners for callers and operators
+)
+
+type registration struct {
+	name  string
+	stage Stage
+	setup Setup
+}
+
+var (
+	registryMu sync.Mutex
+	registry   []registration
+)
+
+// Register adds a plug-in to every node of this process; call it from init.
+func Register(name string, stage Stage, s Setup) {
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	registry = append(registry, registration{name, stage, s})
+	slices.SortStableFunc(registry, func(a, b registration) int { return cmp.Compare(a.stage, b.stage) })
+}
+
+// New returns a kernel with all registered plug-ins set up.
+func New(s *settings.Settings, nodeID string, log *zap.Logger, reg metrics.Registry) (*Kernel, error) {
+	k := &Kernel{Settings: s, NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Drain: newDrain()}
+	registryMu.Lock()
+	list := slices.Clone(registry)
+	registryMu.Unlock()
+	for _, r := range list {
+		p, err := r.setup(k)
+		if err != nil {
+			return nil, fmt.Errorf("plug-in %s: %w", r.name, err)
+		}
+		k.plugins = append(k.plugins, named{r.name, p})
+	}
+	return k, nil
+}
+
+// Start runs the control goroutine and starts the plug-ins in order. When one
+// fails, those already started are stopped.
+func (k *Kernel) Start(ctx context.Context) error {
+	go k.Control.run()
+	for i, p := range k.plugins {
+		if err := p.plugin.Start(ctx); err != nil {
+			k.stop(ctx, k.plugins[:i])
+			return fmt.Errorf("plug-in %s: %w", p.name, err)
+		}
+		k.Log.Info("plugin_started", zap.String("plugin", p.name))
+	}
+	return nil
+}
+
+// Stop stops the plug-ins in reverse order, then the control goroutine.
+func (k *Kernel) Stop(ctx context.Context) { k.stop(ctx, k.plugins) }
+
+func (k *Kernel) stop(ctx context.Context, list []named) {
+	for _, p := range slices.Backward(list) {
+		if err := p.plugin.Stop(ctx); err != nil {
+			k.Log.Warn("plugin_stop_failed", zap.String("plugin", p.name), zap.Error(err))
+		}
+	}
+	k.Control.stop()
+}
--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,85 @@
+// Package logging writes one line of key=value pairs per event. Lines pass
+// through a bounded buffer, so that a slow output never delays traffic.
+package logging
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Writer is a zap sink with a bounded buffer.
+type Writer struct {
+	lines   chan []byte
+	dropped atomic.Uint64
+	flushed chan struct{}
+	done    chan struct{}
+	once    sync.Once
+}
+
+// NewWriter starts a writer to out that holds at most buffer lines.
+func NewWriter(out io.Writer, buffer int) *Writer {
+	w := &Writer{lines: make(chan []byte, buffer), flushed: make(chan struct{}), done: make(chan struct{})}
+	go w.run(out)
+	return w
+}
+
+func (w *Writer) run(out io.Writer) {
+	defer close(w.done)
+	for line := range w.lines {
+		if line == nil {
+			w.flushed <- struct{}{}
+			continue
+		}
+		if _, err := out.Write(line); err != nil {
+			w.dropped.Add(1)
+		}
+	}
+}
+
+// Write queues one line; it drops the line when the buffer is full.
+func (w *Writer) Write(p []byte) (int, error) {
+	line := make([]byte, len(p))
+	copy(line, p)
+	select {
+	case w.lines <- line:
+	default:
+		w.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Sync implements zapcore.WriteSyncer; lines are written in the background.
+func (w *Writer) Sync() error { return nil }
+
+// Dropped returns the number of lines lost so far.
+func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
+
+// Flush returns once all lines written before it have reached the output.
+func (w *Writer) Flush() {
+	w.lines <- nil
+	<-w.flushed
+}
+
+// Close writes what is buffered and stops the writer. No line may be written afterwards.
+func (w *Writer) Close() {
+	w.once.Do(func() { close(w.lines) })
+	<-w.done
+}
+
+// New returns a logger of key=value lines at the given level ("debug", "info", "warn", "error").
+func New(w *Writer, level string) (*zap.Logger, error) {
+	lvl, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.MessageKey = "event"
+	cfg.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(cfg), w, lvl)), nil
+}
--- /dev/null
+++ b/logging/logging_test.go
@@ -0,0 +1,45 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+)
+
+func TestLinesAreKeyValuePairs(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out, 8)
+	log, err := New(w, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	log.Info("route", zap.String("service", "archivo"), zap.Int("candidates", 2))
+	w.Close()
+	if !strings.Contains(out.String(), "event=route service=archivo candidates=2\n") {
+		t.Fatalf("got %q", out.String())
+	}
+}
+
+type blockedWriter struct{ release chan struct{} }
+
+func (b blockedWriter) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+func TestFullBufferDropsAndCounts(t *testing.T) {
+	b := blockedWriter{release: make(chan struct{})}
+	w := NewWriter(b, 2)
+	for range 10 {
+		if _, err := w.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(b.release)
+	w.Close()
+	if d := w.Dropped(); d < 7 || d > 8 {
+		t.Fatalf("dropped %d lines, want 7 or 8", d)
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,144 @@
+// Package node is the daemon that runs beside each backend server. It serves
+// local and outside callers, reaches other nodes and guards its backend server.
+package node
+
+import (
+	"context"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/logging"
+	"github.com/dogwoodhatch/dogwoodhatch/settings"
+)
+
+const (
+	// announceTime is how long a leaving node keeps refusing calls as not run
+	// after its last work ended, so that the news that it leaves overtakes
+	// the calls that are still sent to it.
+	announceTime = 2 * time.Second
+	stopTimeout  = 5 * time.Second
+)
+
+// Node is one running node.
+type Node struct {
+	settings *settings.Settings
+	kernel   *kernel.Kernel
+	log      *zap.Logger
+	writer   *logging.Writer
+	file     *os.File
+	exitOnce sync.Once
+	exited   chan struct{}
+}
+
+// New reads the settings and sets up all plug-ins. Nothing is served yet.
+func New(o *Options) (*Node, error) {
+	s, err := settings.Load(o.Config)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{settings: s, exited: make(chan struct{})}
+	if err := n.openLog(o); err != nil {
+		return nil, err
+	}
+	// The identity differs after each start, so that a new process at an old
+	// address is never taken for its predecessor.
+	id := s.Node.ID + "-" + uuid.NewString()[:8]
+	reg := metrics.NewRegistry()
+	metrics.NewRegisteredFunctionalGauge("log.dropped", reg, func() int64 { return int64(n.writer.Dropped()) })
+	n.kernel, err = kernel.New(s, id, n.log, reg)
+	if err != nil {
+		n.closeLog()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) openLog(o *Options) error {
+	var out io.Writer = os.Stderr
+	if o.LogOutput != nil {
+		out = o.LogOutput
+	}
+	if path := n.settings.Log.Path; path != "" {
+		f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return errs.Wrap(err, errs.Invalid, "correct path in section log", "log cannot be opened")
+		}
+		n.file = f
+		out = f
+	}
+	n.writer = logging.NewWriter(out, n.settings.Log.Buffer)
+	log, err := logging.New(n.writer, n.settings.Log.Level)
+	if err != nil {
+		return errs.Wrap(err, errs.Invalid, "correct level in section log", "log cannot be opened")
+	}
+	n.log = log
+	return nil
+}
+
+// closeLog flushes the log. The writer stays usable, because goroutines of
+// calls that were cut at the end may still log.
+func (n *Node) closeLog() {
+	n.writer.Flush()
+	if n.file != nil {
+		n.file.Close()
+	}
+}
+
+// Main starts the node and serves until Exit has finished.
+func (n *Node) Main(ctx context.Context) error {
+	if err := n.kernel.Start(ctx); err != nil {
+		n.closeLog()
+		return err
+	}
+	n.log.Info("node_started", zap.String("node", n.kernel.NodeID), zap.String("region", n.settings.Node.Region),
+		zap.String("failure_domain", n.settings.Node.FailureDomain), zap.String("peer", n.settings.Listen.Peer))
+	<-n.exited
+	return nil
+}
+
+// Exit shuts the node down gracefully: new work is refused as not run, work in
+// flight ends, and after the drain timeout of the settings what is left is cut.
+func (n *Node) Exit() {
+	n.exitOnce.Do(n.exit)
+	<-n.exited
+}
+
+func (n *Node) exit() {
+	defer close(n.exited)
+	began := time.Now()
+	n.log.Info("node_leaving", zap.Int("in_flight", n.kernel.Drain.InFlight()))
+	n.kernel.Drain.Leave()
+	n.kernel.Target.Leave()
+	n.kernel.Fleet.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Backend.DrainTimeout)
+	defer cancel()
+	cut := n.drain(ctx)
+	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancelStop()
+	n.kernel.Stop(stop)
+	n.log.Info("node_stopped", zap.Int("cut", cut), zap.Duration("took", time.Since(began)))
+	n.closeLog()
+}
+
+// drain waits for the work in flight and returns how many requests are left
+// when ctx ends.
+func (n *Node) drain(ctx context.Context) int {
+	settled := time.NewTimer(announceTime)
+	defer settled.Stop()
+	select {
+	case <-settled.C:
+	case <-ctx.Done():
+	}
+	if err := n.kernel.Drain.Wait(ctx); err != nil {
+		return n.kernel.Drain.InFlight()
+	}
+	return 0
+}
--- /dev/null
+++ b/node/options.go
@@ -0,0 +1,11 @@
+package node
+
+import "io"
+
+// Options configure a node process.
+type Options struct {
+	// Config is the path of the settings file.
+	Config string
+	// LogOutput receives the log when the settings name no path; nil is standard error.
+	LogOutput io.Writer
+}
--- /dev/null
+++ b/node/plugins.go
@@ -0,0 +1,12 @@
+package node
+
+// The plug-ins of every node register themselves.
+import (
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/backend"
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/caller"
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/config"
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/entry"
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/gossip"
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/peer"
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/target"
+)
--- /dev/null
+++ b/plugin/caller/caller.go
@@ -0,0 +1,273 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/plugin/peer"
+	"github.com/dogwoodhatch/dogwoodhatch/retry"
+	"github.com/dogwoodhatch/dogwoodhatch/routing"
+	"github.com/dogwoodhatch/dogwoodhatch/settings"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
+)
+
+const (
+	withdrawTimeout = 300 * time.Millisecond
+	naiveRetries    = 3 // per hop, of the naive baseline
+)
+
+// caller is the plug-in.
+type caller struct {
+	k        *kernel.Kernel
+	log      *zap.Logger
+	naive    bool
+	withdraw bool
+	claims   bool
+	buffer   int // bytes of an answer held until it is whole
+
+	mu       sync.RWMutex
+	services map[string]*service
+}
+
+func newCaller(k *kernel.Kernel) *caller {
+	b := k.Settings.Baseline
+	return &caller{
+		k: k, log: k.Log, naive: b.Naive(),
+		withdraw: !b.Off(settings.MechanismWithdraw),
+		claims:   !b.Off(settings.MechanismClaims),
+		buffer:   k.Settings.Limits.BufferBytes,
+		services: map[string]*service{},
+	}
+}
+
+func (c *caller) service(name string) *service {
+	c.mu.RLock()
+	s := c.services[name]
+	c.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s = c.services[name]; s == nil {
+		s = newService(name, c.k)
+		c.services[name] = s
+	}
+	return s
+}
+
+// request is one request on its way.
+type request struct {
+	*kernel.Request
+	c        *caller
+	s        *service
+	share    *retry.Share
+	tried    []string
+	attempts int
+	granted  int            // retry allowance that travels with the current attempt
+	unknown  *kernel.Answer // an earlier attempt that may have run
+	claims   []claim
+}
+
+// Do implements kernel.Caller.
+func (c *caller) Do(ctx context.Context, req *kernel.Request) *kernel.Answer {
+	ctx, cancel := context.WithDeadline(ctx, req.Chain.Deadline)
+	r := &request{Request: req, c: c, s: c.service(req.Service), share: req.Allowance.Share()}
+	ans := r.run(ctx)
+	r.share.Close()
+	if ans.Outcome == call.Refused {
+		r.releaseClaims()
+	}
+	c.logEnd(r, ans)
+	if ans.Body == nil {
+		cancel()
+		return ans
+	}
+	ans.Body = &cancelBody{ReadCloser: ans.Body, cancel: cancel}
+	return ans
+}
+
+// run makes attempts until one ending is final.
+func (r *request) run(ctx context.Context) *kernel.Answer {
+	if ans := r.claim(ctx); ans != nil {
+		return ans
+	}
+	for {
+		choice, refusal := r.pick()
+		if refusal.Reason != call.ReasonNone {
+			return r.final(refusedAnswer(refusal))
+		}
+		r.logRoute(choice)
+		ans := r.try(ctx, choice)
+		if ans.Outcome == call.Answered && !r.naiveRetry(ctx, ans) {
+			return ans
+		}
+		if ans.Outcome == call.Unknown {
+			r.unknown = ans
+		}
+		if !r.retry(ctx, ans) {
+			return r.final(ans)
+		}
+	}
+}
+
+// pick chooses the target of the next attempt: a member that was not tried
+// yet, or any member once all were tried.
+func (r *request) pick() (routing.Choice, routing.Refusal) {
+	q := routing.Query{Priority: r.Chain.Priority, Deadline: r.Chain.Deadline, Exclude: r.tried}
+	choice, refusal := r.s.pick(r.c.k.Fleet, q, r.c.naive)
+	if refusal.Reason != call.ReasonNoMember || len(r.tried) == 0 {
+		return choice, refusal
+	}
+	r.tried = nil
+	q.Exclude = nil
+	return r.s.pick(r.c.k.Fleet, q, r.c.naive)
+}
+
+func refusedAnswer(f routing.Refusal) *kernel.Answer {
+	return &kernel.Answer{Result: call.Result{Outcome: call.Refused, Reason: f.Reason, RetryAfter: f.RetryAfter}}
+}
+
+// final turns a refusal into an unknown outcome when an earlier attempt may
+// have run.
+func (r *request) final(ans *kernel.Answer) *kernel.Answer {
+	if ans.Outcome == call.Refused && r.unknown != nil {
+		return r.unknown
+	}
+	return ans
+}
+
+// naiveRetry tells whether the naive baseline sends an answered request again:
+// it takes every server error for transient.
+func (r *request) naiveRetry(ctx context.Context, ans *kernel.Answer) bool {
+	again := r.c.naive && ans.Status >= http.StatusInternalServerError && r.attempts <= naiveRetries && ctx.Err() == nil
+	if again {
+		ans.Body.Close()
+	}
+	return again
+}
+
+// retry decides about another attempt and waits the backoff.
+func (r *request) retry(ctx context.Context, ans *kernel.Answer) bool {
+	if r.c.naive {
+		return r.attempts <= naiveRetries && ctx.Err() == nil
+	}
+	d := r.s.decide(ans.Result, r.Chain.Idempotent, r.attempts, time.Until(r.Chain.Deadline), r.share)
+	r.c.log.Info("retry", zap.String("service", r.Service), zap.String("chain", r.Chain.ID.String()), zap.Bool("retry", d.Retry),
+		zap.String("rule", d.Rule), zap.Duration("delay", d.Delay), zap.Stringer("outcome", ans.Outcome), zap.String("reason", string(ans.Reason)))
+	if !d.Retry {
+		return false
+	}
+	wait := time.NewTimer(d.Delay)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// try makes one attempt and learns from its ending.
+func (r *request) try(ctx context.Context, choice routing.Choice) *kernel.Answer {
+	r.attempts++
+	r.tried = append(r.tried, choice.Member.Node)
+	id := uuid.New()
+	timeout := r.attemptTimeout()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	began := time.Now()
+	ans := r.send(ctx, choice.Member.Addr, r.head(id, timeout))
+	r.prove(choice.Member.Addr, id, ans)
+	ans.Latency = time.Since(began)
+	r.settle(ans)
+	r.s.finish(choice.Member.Node, ans.Result, r.c.naive)
+	if ans.Body == nil {
+		cancel()
+		return ans
+	}
+	ans.Body = &cancelBody{ReadCloser: ans.Body, cancel: cancel}
+	return ans
+}
+
+// attemptTimeout leaves room for a retry where one is possible, so that a
+// connection that went silent does not use up the deadline.
+func (r *request) attemptTimeout() time.Duration {
+	left := time.Until(r.Chain.Deadline)
+	if r.Chain.Idempotent && r.Allowance.Left() > 0 && !r.c.naive {
+		return left * 2 / 3
+	}
+	return left
+}
+
+func (r *request) head(id call.ID, timeout time.Duration) *wire.CallHead {
+	r.granted = r.share.Grant()
+	return &wire.CallHead{
+		AttemptId: id[:], ChainId: r.Chain.ID[:], Service: r.Service, Class: r.Chain.Class,
+		Priority: uint32(r.Chain.Priority), Idempotent: r.Chain.Idempotent,
+		TimeoutMs: uint32(max(timeout.Milliseconds(), 0)), Retries: uint32(r.granted),
+		Method: r.Method, Target: r.Target, Headers: peer.EncodeHeader(r.Header), BodyBytes: uint32(len(r.Body)),
+		SourceNode: r.c.k.NodeID, IdempotencyKey: r.IdempotencyKey, Depth: uint32(r.Chain.Depth + 1),
+	}
+}
+
+// send makes the attempt and holds the answer until it is whole, up to the
+// buffer size.
+func (r *request) send(ctx context.Context, addr string, head *wire.CallHead) *kernel.Answer {
+	ans, err := r.c.k.Transport.Call(ctx, addr, &kernel.Attempt{Head: head, Body: r.Body})
+	if err != nil {
+		return &kernel.Answer{Result: call.Result{Outcome: call.Refused, Reason: call.ReasonConnect}}
+	}
+	if ans.Outcome != call.Answered {
+		return ans
+	}
+	return hold(ctx, ans, r.c.buffer)
+}
+
+// prove asks the target to withdraw a lost attempt; when the target promises
+// that it never ran, it counts as refused.
+func (r *request) prove(addr string, id call.ID, ans *kernel.Answer) {
+	if ans.Outcome != call.Unknown || ans.Reason != call.ReasonConnLost || !r.c.withdraw {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	never, err := r.c.k.Transport.Withdraw(ctx, addr, id)
+	r.c.log.Info("withdraw", zap.String("attempt", id.String()), zap.String("addr", addr), zap.Bool("never_ran", never), zap.Error(err))
+	if err == nil && never {
+		ans.Outcome = call.Refused
+		ans.Reason = call.ReasonWithdrawn
+	}
+}
+
+// settle accounts for the retry allowance that travelled with the attempt.
+func (r *request) settle(ans *kernel.Answer) {
+	switch {
+	case ans.Trailer != nil && ans.Trailer.Done:
+		r.share.Return(ans.Trailer.RetriesLeft)
+	case ans.Outcome == call.Refused:
+		// Nothing ran, so nothing of what travelled can have been spent.
+		r.share.Return(r.granted)
+	default:
+		r.share.Forfeit()
+	}
+}
+
+func (r *request) logRoute(c routing.Choice) {
+	r.c.log.Info("route", zap.String("service", r.Service), zap.String("class", r.Chain.Class), zap.String("chain", r.Chain.ID.String()),
+		zap.Int("attempt", r.attempts+1), zap.String("member", c.Member.Node), zap.String("region", c.Member.Region), zap.String("rule", c.Rule),
+		zap.Float64("score", c.Score), zap.String("runner_up", c.RunnerUp), zap.Float64("runner_up_score", c.RunnerUpScore),
+		zap.Int("candidates", c.Candidates))
+}
+
+func (c *caller) logEnd(r *request, ans *kernel.Answer) {
+	c.log.Info("request", zap.String("service", r.Service), zap.String("class", r.Chain.Class), zap.String("chain", r.Chain.ID.String()),
+		zap.Stringer("outcome", ans.Outcome), zap.String("reason", string(ans.Reason)), zap.Int("status", ans.Status),
+		zap.Int("attempts", r.attempts), zap.Duration("left", time.Until(r.Chain.Deadline)))
+}
--- /dev/null
+++ b/plugin/caller/claim.go
@@ -0,0 +1,104 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/execution"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
+)
+
+const (
+	claimHolders   = 2 // members that must all grant a key
+	claimTimeout   = 500 * time.Millisecond
+	releaseTimeout = time.Second
+)
+
+// claim is an idempotency key recorded at one holder.
+type claim struct {
+	addr    string
+	release *wire.Release
+}
+
+// claim records the idempotency key of a request that must run at most once.
+// It returns the final answer when the key is not granted by every holder, nil
+// otherwise.
+func (r *request) claim(ctx context.Context) *kernel.Answer {
+	if r.IdempotencyKey == "" || r.Chain.Idempotent || !r.c.claims {
+		return nil
+	}
+	members := r.s.memberIDs(r.c.k.Fleet)
+	holders := execution.Holders(r.Service+"/"+r.IdempotencyKey, keys(members), claimHolders)
+	replies := r.askHolders(ctx, holders, members)
+	for _, reply := range replies {
+		if !reply.GetGranted() {
+			return r.claimDenied(call.Reason(reply.GetReason()))
+		}
+	}
+	return nil
+}
+
+// askHolders asks all holders at once; a holder that does not answer denies.
+func (r *request) askHolders(ctx context.Context, holders []string, addrs map[string]string) []*wire.ClaimReply {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	submission := uuid.New()
+	minted, _ := execution.MintedAt(r.IdempotencyKey)
+	replies := make([]*wire.ClaimReply, len(holders))
+	var g errgroup.Group
+	for i, id := range holders {
+		r.claims = append(r.claims, claim{addr: addrs[id], release: &wire.Release{Service: r.Service, Key: r.IdempotencyKey, SubmissionId: submission[:]}})
+		c := &wire.Claim{Service: r.Service, Key: r.IdempotencyKey, SubmissionId: submission[:]}
+		if !minted.IsZero() {
+			c.MintedUnixMs = minted.UnixMilli()
+		}
+		g.Go(func() error {
+			reply, err := r.c.k.Transport.Claim(ctx, addrs[id], c)
+			if err != nil {
+				reply = &wire.ClaimReply{Reason: string(call.ReasonKeyUnproved)}
+			}
+			replies[i] = reply
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return replies
+}
+
+// claimDenied ends a request whose key was not granted. A key that another
+// submission holds may have run; one that could not be proved has not run for
+// this submission, but may have for an earlier one.
+func (r *request) claimDenied(reason call.Reason) *kernel.Answer {
+	r.c.log.Info("claim_denied", zap.String("service", r.Service), zap.String("chain", r.Chain.ID.String()), zap.String("reason", string(reason)))
+	r.releaseClaims()
+	return &kernel.Answer{Result: call.Result{Outcome: call.Unknown, Reason: reason}}
+}
+
+// releaseClaims gives the key back after proof that this submission ran nowhere.
+func (r *request) releaseClaims() {
+	claims := r.claims
+	r.claims = nil
+	for _, cl := range claims {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+			defer cancel()
+			if err := r.c.k.Transport.Release(ctx, cl.addr, cl.release); err != nil {
+				r.c.log.Debug("release_failed", zap.String("addr", cl.addr), zap.Error(err))
+			}
+		}()
+	}
+}
+
+func keys(m map[string]string) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	return out
+}
--- /dev/null
+++ b/plugin/caller/service.go
@@ -0,0 +1,117 @@
+package caller
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/membership"
+	"github.com/dogwoodhatch/dogwoodhatch/retry"
+	"github.com/dogwoodhatch/dogwoodhatch/routing"
+)
+
+// service is the routing state towards one service. mu is held for
+// microseconds and never across I/O.
+type service struct {
+	name string
+
+	mu      sync.Mutex
+	router  *routing.Router
+	budget  *retry.Budget
+	rng     *rand.Rand
+	seen    uint64 // version of the fleet that the router knows
+	members []membership.Member
+	next    int // round robin position of the naive baseline
+}
+
+func newService(name string, k *kernel.Kernel) *service {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	cfg := routing.DefaultConfig()
+	cfg.Region = k.Settings.Node.Region
+	cfg.Domain = k.Settings.Node.FailureDomain
+	return &service{
+		name:   name,
+		router: routing.New(cfg, rng),
+		budget: retry.NewBudget(retry.DefaultBudgetConfig()),
+		rng:    rng,
+	}
+}
+
+// refresh passes a changed membership to the router. The caller holds mu.
+func (s *service) refresh(fleet kernel.Fleet, now time.Time) {
+	version := fleet.Version()
+	if version == s.seen && s.members != nil {
+		return
+	}
+	s.seen = version
+	s.members = fleet.Members(s.name)
+	list := make([]routing.Member, 0, len(s.members))
+	for _, m := range s.members {
+		list = append(list, routing.Member{
+			Node: m.ID, Addr: m.Addr, Region: m.Region, Domain: m.Domain,
+			Leaving: m.State == membership.Leaving, Suspect: m.State == membership.Suspect,
+		})
+	}
+	s.router.Update(list, now)
+}
+
+// pick chooses the target of the next attempt and counts it in.
+func (s *service) pick(fleet kernel.Fleet, q routing.Query, naive bool) (routing.Choice, routing.Refusal) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh(fleet, now)
+	if naive {
+		return s.roundRobin()
+	}
+	choice, refusal := s.router.Pick(q, now)
+	if refusal.Reason == call.ReasonNone {
+		s.router.Start(choice.Member.Node, now)
+	}
+	return choice, refusal
+}
+
+// roundRobin is the choice of the naive baseline.
+func (s *service) roundRobin() (routing.Choice, routing.Refusal) {
+	if len(s.members) == 0 {
+		return routing.Choice{}, routing.Refusal{Reason: call.ReasonNoMember, RetryAfter: time.Second}
+	}
+	s.next++
+	m := s.members[s.next%len(s.members)]
+	return routing.Choice{Member: routing.Member{Node: m.ID, Addr: m.Addr, Region: m.Region}, Rule: "round_robin"}, routing.Refusal{}
+}
+
+// finish tells the router how an attempt ended.
+func (s *service) finish(node string, res call.Result, naive bool) {
+	if naive {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.router.Finish(node, res, now)
+	if res.Outcome == call.Answered {
+		s.budget.Deposit(now)
+	}
+}
+
+// decide asks whether to send the request again.
+func (s *service) decide(res call.Result, idempotent bool, attempt int, left time.Duration, share *retry.Share) retry.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return retry.Decide(retry.DefaultConfig(), res, idempotent, attempt, left, res.Pressure.ServiceTime, share, s.budget, s.rng, time.Now())
+}
+
+// memberIDs returns the nodes that announced the service.
+func (s *service) memberIDs(fleet kernel.Fleet) map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refresh(fleet, time.Now())
+	ids := make(map[string]string, len(s.members))
+	for _, m := range s.members {
+		ids[m.ID] = m.Addr
+	}
+	return ids
+}
--- /dev/null
+++ b/plugin/caller/setup.go
@@ -0,0 +1,23 @@
+// Package caller carries out requests on the caller's side: throttling,
+// routing, retries and the proof of how a request ended.
+package caller
+
+import (
+	"context"
+
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+)
+
+func init() { kernel.Register("caller", kernel.StageCaller, setup) }
+
+func setup(k *kernel.Kernel) (kernel.Plugin, error) {
+	c := newCaller(k)
+	k.Caller = c
+	return c, nil
+}
+
+// Start implements kernel.Plugin.
+func (c *caller) Start(context.Context) error { return nil }
+
+// Stop implements kernel.Plugin.
+func (c *caller) Stop(context.Context) error { return nil }
--- /dev/null
+++ b/plugin/entry/answer.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+)
+
+// Headers that tell a caller how its request ended.
+const (
+	HeaderOutcome    = "Dogwoodhatch-Outcome" // answered, refused or unknown
+	HeaderReason     = "Dogwoodhatch-Reason"
+	HeaderRetryAfter = "Dogwoodhatch-Retry-After-Ms"
+)
+
+var ownHeaders = []string{HeaderOutcome, HeaderReason, HeaderRetryAfter}
+
+// defaultRetryAfter is told when the refusal names no time.
+const defaultRetryAfter = time.Second
+
+// write passes the ending on to the caller.
+func (e *entry) write(w http.ResponseWriter, r *http.Request, req *kernel.Request, ans *kernel.Answer) {
+	switch ans.Outcome {
+	case call.Answered:
+		e.writeAnswer(w, r, req, ans)
+	case call.Refused:
+		writeRefusal(w, ans.Reason, ans.RetryAfter)
+	default:
+		writeUnknown(w, ans.Reason)
+	}
+}
+
+// writeAnswer copies a whole answer. One that breaks off after its head was
+// passed on ends the connection, so that it never looks whole.
+func (e *entry) writeAnswer(w http.ResponseWriter, _ *http.Request, req *kernel.Request, ans *kernel.Answer) {
+	defer ans.Body.Close()
+	h := w.Header()
+	for name, values := range ans.Header {
+		h[name] = values
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	removeOwn(h)
+	h.Set(HeaderOutcome, call.Answered.String())
+	if ans.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(ans.Length, 10))
+	}
+	w.WriteHeader(ans.Status)
+	if _, err := io.Copy(w, ans.Body); err != nil {
+		e.log.Warn("answer_broke_off", zap.String("service", req.Service), zap.String("chain", req.Chain.ID.String()), zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// writeRefusal tells the caller that its request ran nowhere and when to come back.
+func writeRefusal(w http.ResponseWriter, reason call.Reason, after time.Duration) {
+	if after <= 0 {
+		after = defaultRetryAfter
+	}
+	setEnding(w, call.Refused, reason)
+	w.Header().Set(HeaderRetryAfter, strconv.FormatInt(after.Milliseconds(), 10))
+	w.Header().Set("Retry-After", strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10))
+	status := http.StatusServiceUnavailable
+	if reason == call.ReasonNoService {
+		status = http.StatusNotFound
+	}
+	http.Error(w, "refused and not run ("+string(reason)+"); send it again after the time in Retry-After", status)
+}
+
+// writeUnknown tells the caller that its request may have run.
+func writeUnknown(w http.ResponseWriter, reason call.Reason) {
+	setEnding(w, call.Unknown, reason)
+	status := http.StatusBadGateway
+	switch reason {
+	case call.ReasonDeadline:
+		status = http.StatusGatewayTimeout
+	case call.ReasonKeyHeld, call.ReasonKeyUnproved:
+		status = http.StatusConflict
+	}
+	http.Error(w, "outcome unknown ("+string(reason)+"); the request may have run, read its effect before sending it again", status)
+}
+
+// writeBadRequest tells the caller that its request is malformed and ran nowhere.
+func writeBadRequest(w http.ResponseWriter, status int, text string) {
+	setEnding(w, call.Refused, call.ReasonBadRequest)
+	http.Error(w, text, status)
+}
+
+func setEnding(w http.ResponseWriter, o call.Outcome, reason call.Reason) {
+	h := w.Header()
+	h.Set(HeaderOutcome, o.String())
+	h.Set(HeaderReason, string(reason))
+}
--- /dev/null
+++ b/plugin/entry/entry.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/settings"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 90 * time.Second
+	maxHeaderBytes    = 64 << 10
+	maxAnnounceBytes  = 4 << 10
+
+	// BackendPath is where the backend server announces itself on the local listener.
+	BackendPath = "/dogwoodhatch/v1/backend"
+)
+
+// entry is the plug-in.
+type entry struct {
+	k       *kernel.Kernel
+	log     *zap.Logger
+	context bool // sub-calls inherit from the execution that makes them
+	servers []*http.Server
+}
+
+func newEntry(k *kernel.Kernel) *entry {
+	return &entry{k: k, log: k.Log, context: !k.Settings.Baseline.Off(settings.MechanismContext)}
+}
+
+// Start implements kernel.Plugin.
+func (e *entry) Start(context.Context) error {
+	outside := http.NewServeMux()
+	outside.HandleFunc("/", e.serveOutside)
+	if err := e.listen(e.k.Settings.Listen.Outside, "outside", outside); err != nil {
+		return err
+	}
+	local := http.NewServeMux()
+	local.HandleFunc("PUT "+BackendPath, e.serveAnnounce)
+	local.HandleFunc("DELETE "+BackendPath, e.serveWithdraw)
+	local.HandleFunc("/", e.serveLocal)
+	return e.listen(e.k.Settings.Listen.Local, "local", local)
+}
+
+func (e *entry) listen(addr, key string, h http.Handler) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errs.Wrap(err, errs.Unavailable, "free the port or change "+key+" in section listen", "cannot listen for callers on %s", addr)
+	}
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(e.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	e.servers = append(e.servers, srv)
+	go srv.Serve(ln)
+	return nil
+}
+
+// Stop implements kernel.Plugin.
+func (e *entry) Stop(ctx context.Context) error {
+	var first error
+	for _, s := range e.servers {
+		if err := s.Shutdown(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// serveAnnounce takes the announcement of the backend server.
+func (e *entry) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	var b kernel.BackendInfo
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes)).Decode(&b)
+	if err != nil {
+		http.Error(w, "the announcement is malformed; send {\"service\":NAME,\"address\":HOST:PORT}", http.StatusBadRequest)
+		return
+	}
+	if _, _, err := net.SplitHostPort(b.Address); err != nil || b.Service == "" {
+		http.Error(w, "the announcement needs a service name and an address as HOST:PORT", http.StatusBadRequest)
+		return
+	}
+	if e.k.Drain.Leaving() {
+		http.Error(w, "this node is leaving; announce again once it was replaced", http.StatusServiceUnavailable)
+		return
+	}
+	e.k.Target.Announce(b)
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveWithdraw takes the announcement back: the backend server drains.
+func (e *entry) serveWithdraw(w http.ResponseWriter, _ *http.Request) {
+	e.k.Target.Withdrawn()
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/plugin/peer/frame.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
+)
+
+const (
+	chunkBytes    = 32 << 10 // of a body in one Data frame
+	maxFrameBytes = 1 << 20  // of one message
+)
+
+var frameOptions = protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
+
+// readMessage reads one length-prefixed message.
+func readMessage(r *bufio.Reader, m proto.Message) error {
+	if err := frameOptions.UnmarshalFrom(r, m); err != nil {
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
+		return errs.Wrap(err, errs.Invalid, "check that both nodes speak the node protocol", "malformed frame")
+	}
+	return nil
+}
+
+// encodeRequest returns the opening of a stream and the body as one buffer.
+func encodeRequest(head *wire.StreamHead, body []byte) ([]byte, error) {
+	var buf bytes.Buffer
+	if _, err := protodelim.MarshalTo(&buf, head); err != nil {
+		return nil, err
+	}
+	for len(body) > 0 {
+		n := min(len(body), chunkBytes)
+		if _, err := protodelim.MarshalTo(&buf, &wire.Data{Chunk: body[:n]}); err != nil {
+			return nil, err
+		}
+		body = body[n:]
+	}
+	return buf.Bytes(), nil
+}
+
+// readBody reads Data frames until size bytes have arrived.
+func readBody(r *bufio.Reader, size, limit int) ([]byte, error) {
+	if size > limit {
+		return nil, errs.New(errs.Invalid, "raise max_request_bytes in section limits or send less",
+			"request body of %d bytes exceeds the limit of %d", size, limit)
+	}
+	body := make([]byte, 0, size)
+	for len(body) < size {
+		var d wire.Data
+		if err := readMessage(r, &d); err != nil {
+			return nil, err
+		}
+		if len(d.Chunk) == 0 || len(body)+len(d.Chunk) > size {
+			return nil, errs.New(errs.Invalid, "check that both nodes speak the node protocol",
+				"body frame of %d bytes does not fit a body of %d", len(d.Chunk), size)
+		}
+		body = append(body, d.Chunk...)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/plugin/peer/header.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
+)
+
+// EncodeHeader converts HTTP headers for the wire.
+func EncodeHeader(h http.Header) []*wire.Header {
+	out := make([]*wire.Header, 0, len(h))
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// DecodeHeader converts wire headers to HTTP headers.
+func DecodeHeader(list []*wire.Header) http.Header {
+	h := make(http.Header, len(list))
+	for _, e := range list {
+		h[e.GetName()] = append(h[e.GetName()], e.GetValue())
+	}
+	return h
+}
+
+func encodePressure(p call.Pressure) *wire.Pressure {
+	return &wire.Pressure{
+		Limit:         uint32(p.Limit),
+		InFlight:      uint32(p.InFlight),
+		Queued:        uint32(p.Queued),
+		AdmitPriority: uint32(p.AdmitPriority),
+		QueueDelayUs:  uint32(p.QueueDelay.Microseconds()),
+		ServiceTimeUs: uint32(p.ServiceTime.Microseconds()),
+	}
+}
+
+func decodePressure(p *wire.Pressure) call.Pressure {
+	return call.Pressure{
+		Limit:         int(p.GetLimit()),
+		InFlight:      int(p.GetInFlight()),
+		Queued:        int(p.GetQueued()),
+		AdmitPriority: call.Priority(p.GetAdmitPriority()),
+		QueueDelay:    time.Duration(p.GetQueueDelayUs()) * time.Microsecond,
+		ServiceTime:   time.Duration(p.GetServiceTimeUs()) * time.Microsecond,
+	}
+}
+
+var outcomeToWire = map[call.Outcome]wire.Outcome{
+	call.Answered: wire.Outcome_OUTCOME_ANSWERED,
+	call.Refused:  wire.Outcome_OUTCOME_REFUSED,
+	call.Unknown:  wire.Outcome_OUTCOME_UNKNOWN,
+}
+
+// decodeOutcome treats every value it does not know as unknown, the only
+// ending that promises nothing.
+func decodeOutcome(o wire.Outcome) call.Outcome {
+	switch o {
+	case wire.Outcome_OUTCOME_ANSWERED:
+		return call.Answered
+	case wire.Outcome_OUTCOME_REFUSED:
+		return call.Refused
+	}
+	return call.Unknown
+}
--- /dev/null
+++ b/plugin/peer/pool.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
+)
+
+// pool keeps one session to each node that this node calls.
+type pool struct {
+	cfg    Config
+	log    *zap.Logger
+	source string
+	ycfg   *yamux.Config
+
+	mu       sync.Mutex
+	sessions map[string]*session
+	dials    map[string]*dial
+	closed   bool
+}
+
+// dial is a connection attempt that several calls wait for.
+type dial struct {
+	done chan struct{}
+	sess *session
+	err  error
+}
+
+func newPool(cfg Config, source string, log *zap.Logger) *pool {
+	return &pool{
+		cfg: cfg, log: log, source: source, ycfg: cfg.yamuxConfig(log),
+		sessions: map[string]*session{}, dials: map[string]*dial{},
+	}
+}
+
+// open returns a new stream to addr and its session. The caller must call
+// session.release when the stream is done.
+func (p *pool) open(ctx context.Context, addr string) (*yamux.Stream, *session, error) {
+	s, err := p.session(ctx, addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	if !s.acquire(p.cfg.MaxStreams) {
+		return nil, nil, errs.New(errs.Unavailable, "retry at another node", "session to %s carries %d calls", addr, p.cfg.MaxStreams)
+	}
+	st, err := s.mux.OpenStream()
+	if err != nil {
+		s.release()
+		p.drop(s)
+		return nil, nil, errs.Wrap(err, errs.Unavailable, "retry at another node", "session to %s is broken", addr)
+	}
+	return st, s, nil
+}
+
+// session returns the session to addr, dialling when there is none.
+func (p *pool) session(ctx context.Context, addr string) (*session, error) {
+	p.mu.Lock()
+	if s := p.sessions[addr]; s != nil && !s.mux.IsClosed() {
+		p.mu.Unlock()
+		return s, nil
+	}
+	d := p.dials[addr]
+	if d == nil {
+		d = &dial{done: make(chan struct{})}
+		p.dials[addr] = d
+		go p.connect(addr, d)
+	}
+	p.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.sess, d.err
+	case <-ctx.Done():
+		return nil, errs.Wrap(ctx.Err(), errs.Unavailable, "retry at another node", "no connection to %s in time", addr)
+	}
+}
+
+func (p *pool) connect(addr string, d *dial) {
+	d.sess, d.err = p.dial(addr)
+	p.mu.Lock()
+	delete(p.dials, addr)
+	if d.err == nil && p.closed {
+		d.sess.mux.Close()
+		d.err = errs.New(errs.Unavailable, "call another node", "this node has stopped")
+	}
+	if d.err == nil {
+		p.sessions[addr] = d.sess
+	}
+	p.mu.Unlock()
+	close(d.done)
+}
+
+func (p *pool) dial(addr string) (*session, error) {
+	conn, err := net.DialTimeout("tcp", addr, p.cfg.DialTimeout)
+	if err != nil {
+		return nil, errs.Wrap(err, errs.Unavailable, "retry at another node", "node %s does not accept connections", addr)
+	}
+	s := &session{addr: addr, lastUse: time.Now()}
+	s.lastRead.Store(time.Now().UnixNano())
+	s.mux, err = yamux.Client(&readClock{Conn: conn, last: &s.lastRead}, p.ycfg)
+	if err != nil {
+		conn.Close()
+		return nil, errs.Wrap(err, errs.Internal, "report this fault", "session to %s cannot be set up", addr)
+	}
+	p.log.Debug("peer_connected", zap.String("addr", addr))
+	return s, nil
+}
+
+// drop closes a session and forgets it, so that the next call dials anew.
+func (p *pool) drop(s *session) {
+	p.mu.Lock()
+	if p.sessions[s.addr] == s {
+		delete(p.sessions, s.addr)
+	}
+	p.mu.Unlock()
+	s.mux.Close()
+}
+
+// watch probes silent sessions and closes idle ones until ctx ends.
+func (p *pool) watch(ctx context.Context) {
+	tick := time.NewTicker(p.cfg.CheckInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			p.check(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *pool) check(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, s := range p.sessions {
+		switch s.state(now, p.cfg) {
+		case stateSilent:
+			if p.cfg.Liveness && s.probing.CompareAndSwap(false, true) {
+				go p.probe(s)
+			}
+		case stateIdle:
+			delete(p.sessions, addr)
+			go s.mux.Close()
+		}
+	}
+}
+
+// probe pings a silent session; one that sends nothing at all until the
+// timeout is closed, which ends its calls as lost.
+func (p *pool) probe(s *session) {
+	defer s.probing.Store(false)
+	start := time.Now()
+	_, err := s.mux.Ping()
+	if err == nil || s.lastRead.Load() > start.UnixNano() {
+		return
+	}
+	p.log.Warn("peer_session_lost", zap.String("addr", s.addr), zap.Int("in_flight", s.inFlight()),
+		zap.Duration("silent", time.Since(time.Unix(0, s.lastRead.Load()))), zap.Error(err))
+	p.drop(s)
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, s := range p.sessions {
+		s.mux.Close()
+	}
+	p.sessions = map[string]*session{}
+}
--- /dev/null
+++ b/plugin/peer/server.go
@@ -0,0 +1,240 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
+)
+
+// headTimeout bounds the wait for the opening of a stream and its body.
+const headTimeout = 10 * time.Second
+
+// peer is the plug-in: the pool to other nodes and the listener for them.
+type peer struct {
+	cfg    Config
+	k      *kernel.Kernel
+	pool   *pool
+	ln     net.Listener
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+}
+
+func newPeer(cfg Config, k *kernel.Kernel) *peer {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &peer{cfg: cfg, k: k, pool: newPool(cfg, k.NodeID, k.Log), ctx: ctx, cancel: cancel, sessions: map[*yamux.Session]struct{}{}}
+}
+
+// Start implements kernel.Plugin.
+func (p *peer) Start(context.Context) error {
+	ln, err := net.Listen("tcp", p.k.Settings.Listen.Peer)
+	if err != nil {
+		return errs.Wrap(err, errs.Unavailable, "free the port or change peer in section listen", "cannot listen for nodes on %s", p.k.Settings.Listen.Peer)
+	}
+	p.ln = ln
+	go p.accept()
+	go p.pool.watch(p.ctx)
+	return nil
+}
+
+// Stop implements kernel.Plugin.
+func (p *peer) Stop(context.Context) error {
+	p.cancel()
+	err := p.ln.Close()
+	p.pool.close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s := range p.sessions {
+		s.Close()
+	}
+	return err
+}
+
+func (p *peer) accept() {
+	for {
+		conn, err := p.ln.Accept()
+		if err != nil {
+			if p.ctx.Err() != nil {
+				return
+			}
+			time.Sleep(p.cfg.CheckInterval)
+			continue
+		}
+		go p.serveConn(conn)
+	}
+}
+
+func (p *peer) serveConn(conn net.Conn) {
+	mux, err := yamux.Server(conn, p.cfg.yamuxConfig(p.k.Log))
+	if err != nil {
+		conn.Close()
+		return
+	}
+	p.mu.Lock()
+	p.sessions[mux] = struct{}{}
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.sessions, mux)
+		p.mu.Unlock()
+		mux.Close()
+	}()
+	for {
+		st, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		go p.serveStream(st)
+	}
+}
+
+func (p *peer) serveStream(st *yamux.Stream) {
+	defer st.Close()
+	st.SetReadDeadline(time.Now().Add(headTimeout))
+	br := bufio.NewReader(st)
+	var head wire.StreamHead
+	if err := readMessage(br, &head); err != nil {
+		p.reject(st, err)
+		return
+	}
+	switch kind := head.GetKind().(type) {
+	case *wire.StreamHead_Call:
+		p.serveCall(st, br, kind.Call)
+	case *wire.StreamHead_Withdraw:
+		id, err := call.ParseID(kind.Withdraw.GetAttemptId())
+		if err != nil {
+			p.reject(st, err)
+			return
+		}
+		protodelim.MarshalTo(st, &wire.WithdrawReply{NeverRan: p.k.Target.Withdraw(id)})
+	case *wire.StreamHead_Claim:
+		protodelim.MarshalTo(st, p.k.Target.Claim(kind.Claim))
+	case *wire.StreamHead_Release:
+		p.k.Target.Release(kind.Release)
+		protodelim.MarshalTo(st, &wire.ClaimReply{})
+	case *wire.StreamHead_Exchange:
+		p.serveExchange(st, kind.Exchange)
+	default:
+		p.reject(st, errs.New(errs.Invalid, "upgrade this node", "stream of an unknown kind"))
+	}
+}
+
+// reject logs a malformed stream; closing it tells the source, which treats
+// the attempt as lost. Nothing else on the session is touched.
+func (p *peer) reject(st *yamux.Stream, err error) {
+	p.k.Log.Warn("peer_stream_rejected", zap.Stringer("remote", st.RemoteAddr()), zap.Error(err))
+}
+
+func (p *peer) serveExchange(st *yamux.Stream, x *wire.Exchange) {
+	h, ok := p.k.Exchanges.Handler(x.GetTopic())
+	if !ok {
+		p.reject(st, errs.New(errs.Invalid, "upgrade this node", "exchange of unknown topic %q", x.GetTopic()))
+		return
+	}
+	payload, err := h(x.GetSourceNode(), x.GetPayload())
+	if err != nil {
+		p.reject(st, err)
+		return
+	}
+	protodelim.MarshalTo(st, &wire.Exchange{Topic: x.GetTopic(), Payload: payload, SourceNode: p.k.NodeID})
+}
+
+func (p *peer) serveCall(st *yamux.Stream, br *bufio.Reader, head *wire.CallHead) {
+	body, err := readBody(br, int(head.GetBodyBytes()), p.cfg.MaxRequestBytes)
+	if err != nil {
+		p.reject(st, err)
+		return
+	}
+	st.SetReadDeadline(time.Time{})
+	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(head.GetTimeoutMs())*time.Millisecond)
+	defer cancel()
+	go watchSource(br, cancel)
+	w := &answerWriter{bw: bufio.NewWriterSize(st, chunkBytes), hash: xxhash.New()}
+	res := p.k.Target.Serve(ctx, head, body, w)
+	w.finish(res)
+}
+
+// watchSource cancels the attempt when the source closes the stream. The
+// source sends nothing after the body, so any end of the read means that it
+// has gone.
+func watchSource(br *bufio.Reader, cancel context.CancelFunc) {
+	_, _ = br.ReadByte()
+	cancel()
+}
+
+// answerWriter sends the frames of one answer.
+type answerWriter struct {
+	bw      *bufio.Writer
+	hash    *xxhash.Digest
+	bytes   uint64
+	started bool
+	err     error
+}
+
+// WriteHead implements kernel.AnswerWriter.
+func (w *answerWriter) WriteHead(status int, h http.Header, pr call.Pressure) error {
+	return w.writeHead(&wire.AnswerHead{
+		Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: uint32(status), Headers: EncodeHeader(h), Pressure: encodePressure(pr),
+	})
+}
+
+func (w *answerWriter) writeHead(h *wire.AnswerHead) error {
+	w.started = true
+	return w.send(&wire.AnswerFrame{Kind: &wire.AnswerFrame_Head{Head: h}})
+}
+
+// Write implements io.Writer.
+func (w *answerWriter) Write(p []byte) (int, error) {
+	total := len(p)
+	for len(p) > 0 {
+		n := min(len(p), chunkBytes)
+		w.hash.Write(p[:n])
+		w.bytes += uint64(n)
+		if err := w.send(&wire.AnswerFrame{Kind: &wire.AnswerFrame_Data{Data: &wire.Data{Chunk: p[:n]}}}); err != nil {
+			return 0, err
+		}
+		p = p[n:]
+	}
+	return total, nil
+}
+
+func (w *answerWriter) send(f *wire.AnswerFrame) error {
+	if w.err == nil {
+		_, w.err = protodelim.MarshalTo(w.bw, f)
+	}
+	return w.err
+}
+
+func (w *answerWriter) finish(res call.Result) {
+	if !w.started {
+		w.writeHead(&wire.AnswerHead{
+			Outcome: outcomeToWire[res.Outcome], Reason: string(res.Reason), Status: uint32(res.Status),
+			RetryAfterMs: uint32(res.RetryAfter.Milliseconds()), Pressure: encodePressure(res.Pressure),
+		})
+	}
+	w.send(&wire.AnswerFrame{Kind: &wire.AnswerFrame_End{End: &wire.AnswerEnd{
+		BodyBytes: w.bytes, BodyHash: w.hash.Sum64(), RetriesLeft: uint32(res.RetriesLeft),
+		Outcome: outcomeToWire[res.Outcome], Reason: string(res.Reason),
+	}}})
+	if w.err == nil {
+		w.err = w.bw.Flush()
+	}
+}
+
+var _ io.Writer = (*answerWriter)(nil)
--- /dev/null
+++ b/plugin/target/setup.go
@@ -0,0 +1,16 @@
+// Package target executes attempts at the backend server beside the node:
+// admission, at-most-once execution and the claims of idempotency keys.
+package target
+
+import (
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+)
+
+func init() { kernel.Register("target", kernel.StageTarget, setup) }
+
+func setup(k *kernel.Kernel) (kernel.Plugin, error) {
+	t := newTarget(k)
+	k.Target = t
+	k.Executions = t
+	return t, nil
+}
--- /dev/null
+++ b/plugin/target/target.go
@@ -0,0 +1,218 @@
+package target
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/admission"
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/execution"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/settings"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
+)
+
+const (
+	tickInterval   = 10 * time.Millisecond // of the admission queue
+	expireInterval = time.Second           // of old attempts and claims
+)
+
+// target is the plug-in. mu guards the decision state; it is held for
+// microseconds and never across I/O.
+type target struct {
+	k        *kernel.Kernel
+	log      *zap.Logger
+	admit    bool
+	cancel   context.CancelFunc
+	started  time.Time
+	answered metrics.Meter
+	refused  metrics.Meter
+	unknown  metrics.Meter
+
+	mu       sync.Mutex
+	ctrl     *admission.Controller
+	registry *execution.Registry
+	claims   *execution.Claims
+	backend  kernel.BackendInfo
+	up       bool // a backend server has announced itself
+	leaving  bool
+	renewed  time.Time
+	running  map[string]*kernel.Execution
+}
+
+func newTarget(k *kernel.Kernel) *target {
+	now := time.Now()
+	return &target{
+		k:        k,
+		log:      k.Log,
+		admit:    !k.Settings.Baseline.Off(settings.MechanismAdmission),
+		started:  now,
+		registry: execution.NewRegistry(execution.DefaultRegistryConfig()),
+		claims:   execution.NewClaims(execution.DefaultClaimsConfig(), now),
+		running:  map[string]*kernel.Execution{},
+		answered: metrics.GetOrRegisterMeter("target.answered", k.Metrics),
+		refused:  metrics.GetOrRegisterMeter("target.refused", k.Metrics),
+		unknown:  metrics.GetOrRegisterMeter("target.unknown", k.Metrics),
+	}
+}
+
+// Start implements kernel.Plugin.
+func (t *target) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.cancel = cancel
+	go t.run(ctx)
+	return nil
+}
+
+// Stop implements kernel.Plugin.
+func (t *target) Stop(context.Context) error {
+	t.cancel()
+	return nil
+}
+
+func (t *target) run(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			t.tick(now)
+		case now := <-expire.C:
+			t.expire(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (t *target) tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ctrl != nil {
+		t.deliver(t.ctrl.Tick(now))
+	}
+}
+
+// expire forgets old attempts, and the backend server when its announcement lapsed.
+func (t *target) expire(now time.Time) {
+	t.mu.Lock()
+	t.registry.Expire(now)
+	lapsed := t.up && now.Sub(t.renewed) > t.k.Settings.Backend.AnnounceTTL
+	t.mu.Unlock()
+	if lapsed {
+		t.log.Warn("backend_lapsed", zap.String("service", t.backend.Service), zap.String("addr", t.backend.Address))
+		t.Withdrawn()
+	}
+}
+
+// deliver hands the decisions on queued tickets to their goroutines.
+func (t *target) deliver(actions []admission.Action) {
+	for _, a := range actions {
+		a.Ticket.Data.(chan admission.Action) <- a
+	}
+}
+
+// Announce implements kernel.Target.
+func (t *target) Announce(b kernel.BackendInfo) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.renewed = now
+	if t.leaving || t.up && t.backend == b {
+		return
+	}
+	t.backend = b
+	t.up = true
+	t.ctrl = admission.New(t.admissionConfig(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
+	t.ctrl.Hint(b.Slots, now)
+	t.log.Info("backend_announced", zap.String("service", b.Service), zap.String("addr", b.Address),
+		zap.Int("slots", b.Slots), zap.Int("connections", b.Connections))
+	t.k.Fleet.Announce(b.Service)
+}
+
+func (t *target) admissionConfig() admission.Config { return admission.DefaultConfig() }
+
+// Withdrawn implements kernel.Target: queued calls are refused as not run,
+// running ones end by themselves.
+func (t *target) Withdrawn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.up {
+		return
+	}
+	t.up = false
+	t.log.Info("backend_withdrawn", zap.String("service", t.backend.Service), zap.Int("running", len(t.running)))
+	t.deliver(t.ctrl.Leave(time.Now()))
+	t.k.Fleet.Announce("")
+}
+
+// Leave starts the graceful shutdown of the target role.
+func (t *target) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = true
+	t.up = false
+	if t.ctrl != nil {
+		t.deliver(t.ctrl.Leave(time.Now()))
+	}
+}
+
+// Status implements kernel.Target.
+func (t *target) Status() kernel.TargetStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := kernel.TargetStatus{Backend: t.backend, Leaving: t.leaving || !t.up, Running: len(t.running)}
+	if t.ctrl != nil {
+		s.Pressure = t.ctrl.Pressure(time.Now())
+	}
+	return s
+}
+
+// Lookup implements kernel.Executions.
+func (t *target) Lookup(token string) (*kernel.Execution, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.running[token]
+	return e, ok
+}
+
+// Withdraw implements kernel.Target.
+func (t *target) Withdraw(attempt call.ID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.registry.Withdraw(attempt, time.Now())
+}
+
+// Claim implements kernel.Target.
+func (t *target) Claim(c *wire.Claim) *wire.ClaimReply {
+	id, err := call.ParseID(c.GetSubmissionId())
+	if err != nil {
+		return &wire.ClaimReply{Reason: string(call.ReasonBadRequest)}
+	}
+	var minted time.Time
+	if ms := c.GetMintedUnixMs(); ms != 0 {
+		minted = time.UnixMilli(ms)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	granted, reason := t.claims.Claim(c.GetService(), c.GetKey(), id, minted, time.Now())
+	return &wire.ClaimReply{Granted: granted, Reason: string(reason)}
+}
+
+// Release implements kernel.Target.
+func (t *target) Release(r *wire.Release) {
+	id, err := call.ParseID(r.GetSubmissionId())
+	if err != nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.claims.Release(r.GetService(), r.GetKey(), id, time.Now())
+}
--- /dev/null
+++ b/settings/field.go
@@ -0,0 +1,176 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// field binds one key of the file to one field of Settings.
+type field struct {
+	section, key string
+	fallback     string
+	required     bool
+	set          func(value string) error // the error names the remedy
+}
+
+// read applies the value in f, or the fallback, and returns a fault or "".
+func (fd field) read(f *ini.File) string {
+	value := fd.fallback
+	if sec, err := f.GetSection(fd.section); err == nil && sec.HasKey(fd.key) {
+		value = sec.Key(fd.key).String()
+	}
+	if value == "" {
+		if fd.required {
+			return fmt.Sprintf("[%s] %s: missing; add the key", fd.section, fd.key)
+		}
+		return ""
+	}
+	if err := fd.set(value); err != nil {
+		return fmt.Sprintf("[%s] %s = %q: %v", fd.section, fd.key, value, err)
+	}
+	return ""
+}
+
+// fields lists every key that a settings file may hold.
+func fields(s *Settings) []field {
+	return []field{
+		{"node", "id", "", true, text(&s.Node.ID)},
+		{"node", "region", "", true, text(&s.Node.Region)},
+		{"node", "failure_domain", "", true, text(&s.Node.FailureDomain)},
+		{"listen", "outside", "", true, address(&s.Listen.Outside)},
+		{"listen", "local", "", true, address(&s.Listen.Local)},
+		{"listen", "peer", "", true, address(&s.Listen.Peer)},
+		{"listen", "gossip", "", true, address(&s.Listen.Gossip)},
+		{"listen", "advertise_peer", "", false, address(&s.Listen.AdvertisePeer)},
+		{"listen", "admin", "", false, address(&s.Listen.Admin)},
+		{"store", "url", "", false, checked(&s.Store.URL, checkURL)},
+		{"store", "timeout", "2s", false, duration(&s.Store.Timeout, 10*time.Millisecond, time.Minute)},
+		{"contacts", "addresses", "", false, addresses(&s.Contacts.Addresses)},
+		{"admin", "credentials", "", false, credentials(&s.Admin.Credentials)},
+		{"backend", "shed_header", "X-Shed", false, text(&s.Backend.ShedHeader)},
+		{"backend", "announce_ttl", "3s", false, duration(&s.Backend.AnnounceTTL, 100*time.Millisecond, 5*time.Minute)},
+		{"backend", "drain_timeout", "30s", false, duration(&s.Backend.DrainTimeout, time.Second, 10*time.Minute)},
+		{"limits", "max_request_bytes", "1048576", false, number(&s.Limits.MaxRequestBytes, 0, 1<<30)},
+		{"limits", "buffer_bytes", "262144", false, number(&s.Limits.BufferBytes, 0, 1<<30)},
+		{"log", "path", "", false, text(&s.Log.Path)},
+		{"log", "level", "info", false, oneOf(&s.Log.Level, "debug", "info", "warn", "error")},
+		{"log", "buffer", "8192", false, number(&s.Log.Buffer, 1, 1<<20)},
+		{"baseline", "mode", "none", false, oneOf(&s.Baseline.Mode, "none", modeNaive)},
+		{"baseline", "disable", "", false, listOf(&s.Baseline.Disable, mechanisms...)},
+	}
+}
+
+func text(dst *string) func(string) error {
+	return checked(dst, func(string) error { return nil })
+}
+
+func checked(dst *string, check func(string) error) func(string) error {
+	return func(v string) error {
+		*dst = v
+		return check(v)
+	}
+}
+
+func address(dst *string) func(string) error { return checked(dst, checkAddress) }
+
+func checkAddress(v string) error {
+	host, port, err := net.SplitHostPort(v)
+	if err != nil {
+		return fmt.Errorf("is no address; write it as 10.0.0.1:7001")
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("names no IP number; write it as 10.0.0.1:7001")
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		return fmt.Errorf("has no valid port; use 1 to 65535")
+	}
+	return nil
+}
+
+func addresses(dst *[]string) func(string) error {
+	return func(v string) error {
+		for _, a := range splitList(v) {
+			if err := checkAddress(a); err != nil {
+				return fmt.Errorf("%q %w", a, err)
+			}
+			*dst = append(*dst, a)
+		}
+		return nil
+	}
+}
+
+func credentials(dst *map[string]string) func(string) error {
+	return func(v string) error {
+		*dst = map[string]string{}
+		for _, c := range splitList(v) {
+			name, token, ok := strings.Cut(c, ":")
+			if !ok || name == "" || token == "" {
+				return fmt.Errorf("holds an entry without name or token; write name:token, separated by commas")
+			}
+			(*dst)[name] = token
+		}
+		return nil
+	}
+}
+
+func duration(dst *time.Duration, low, high time.Duration) func(string) error {
+	return func(v string) error {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			return fmt.Errorf("is no duration; write it as 500ms or 2s")
+		}
+		if d < low || d > high {
+			return fmt.Errorf("is out of range; use %v to %v", low, high)
+		}
+		*dst = d
+		return nil
+	}
+}
+
+func number(dst *int, low, high int) func(string) error {
+	return func(v string) error {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < low || n > high {
+			return fmt.Errorf("is no number in range; use %d to %d", low, high)
+		}
+		*dst = n
+		return nil
+	}
+}
+
+func oneOf(dst *string, allowed ...string) func(string) error {
+	return checked(dst, func(v string) error {
+		if !slices.Contains(allowed, v) {
+			return fmt.Errorf("is not known; use one of %s", strings.Join(allowed, ", "))
+		}
+		return nil
+	})
+}
+
+func listOf(dst *[]string, allowed ...string) func(string) error {
+	return func(v string) error {
+		for _, item := range splitList(v) {
+			if !slices.Contains(allowed, item) {
+				return fmt.Errorf("names %q, which is not known; use any of %s", item, strings.Join(allowed, ", "))
+			}
+			*dst = append(*dst, item)
+		}
+		return nil
+	}
+}
+
+func splitList(v string) []string {
+	var out []string
+	for _, part := range strings.Split(v, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,71 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
+)
+
+const valid = `
+[node]
+id = n1
+region = tx-central
+failure_domain = tx-central-a
+[listen]
+outside = 127.0.0.1:7001
+local = 127.0.0.1:7002
+peer = 127.0.0.1:7003
+gossip = 127.0.0.1:7003
+`
+
+func load(t *testing.T, text string) (*Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(path)
+}
+
+func TestLoadFillsDefaults(t *testing.T) {
+	s, err := load(t, valid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Limits.BufferBytes != 262144 || s.Log.Level != "info" || s.Baseline.Naive() {
+		t.Fatalf("unexpected defaults: %+v", s)
+	}
+}
+
+func TestLoadReportsAllFaultsAtOnce(t *testing.T) {
+	text := strings.Replace(valid, "127.0.0.1:7001", "localhost:7001", 1) + "[log]\nlevel = loud\ncolour = red\n"
+	_, err := load(t, text)
+	if errs.KindOf(err) != errs.Invalid {
+		t.Fatalf("got %v", err)
+	}
+	for _, want := range []string{
+		`[listen] outside = "localhost:7001": names no IP number`,
+		`[log] level = "loud": is not known; use one of debug, info, warn, error`,
+		`[log] colour = "red": unknown key; remove it`,
+		"3 faults",
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("missing %q in:\n%v", want, err)
+		}
+	}
+}
+
+func FuzzLoad(f *testing.F) {
+	f.Add(valid)
+	f.Add("[node\nid=")
+	f.Add("[listen]\npeer=:::\n[unknown]\na=b")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := load(t, text)
+		if (s == nil) == (err == nil) {
+			t.Fatalf("settings %v and error %v", s, err)
+		}
+	})
+}
