Publish changes whose outcome the operator hears truly

Cause: a write to the store can take effect though its answer is lost, and two operators can race. Without an identity of the change the operator who won hears "conflict".

Deleting a profile and binding a service are two writes with a check between them.

Ruled out: a list of bound services in the profile's record (a binding in flight would not be in it), and taking back a binding that turns out to name a deleted profile (its change would have been accepted and then reverted).

--- a/profile/record.go
+++ b/profile/record.go
@@ -43,6 +43,8 @@
 	// Base is the store revision that the change replaced; 0 is an absent key.
 	// Revisions of a key form one chain, so no two changes have the same base.
 	Base uint64 `json:"base"`
+	// Prepares is the change that this one makes ready; nil for any other.
+	Prepares *uuid.UUID `json:"prepares,omitempty"`
 }
 
 // Record is the value of a store key: what is in force, and the changes that
@@ -74,6 +76,10 @@
 	// of that profile with which the binding may come into force.
 	Profile string `json:"profile,omitempty"`
 	Needs   uint64 `json:"needs,omitempty"`
+
+	// Proposed is the profile of a binding that is being made ready and is not
+	// in force yet.
+	Proposed string `json:"proposed,omitempty"`
 }
 
 // Encode returns the record as a store value.
