Administration interface, the operators' command line and example profiles

Cause: operators need to publish, bind, resolve and drain, and to hear truly what became of a change even if the answer of the node or of the store is lost.

Change: - adminapi: profiles, bindings, changes, members, status and drain behind bearer tokens, with ETag and If-Match; every change is logged with who and what. - dogwoodhatch: check, profile, service, change, members, status and drain. A change names its own identity, so that a lost answer is read back; what is still open ends with status 4 and the reference to resolve. - profiles/bluebonnet.ini and profiles/asociacion.ini. - publish: a write that ends in a permanent error after an attempt of unknown effect is read back instead of being reported as not made.

Ruled out: letting the command line read the current revision before each write and replace whatever it finds; it would overwrite a change that the operator has not seen.

Seen failing with the mechanism off, then passing: - any token accepted: "status 200, want 401" - no precondition needed: "status 200, want 428" - changes not logged: "logged [], want ann put_profile calm accepted, ..." - no ETag on a deleted profile: "a deleted profile has tag " - the command line does not read back: "status 4, want 0" - a lost answer of the node taken for a fault: "status 1, want 4" - the client calls lost writes unavailable: "want kind unknown"

--- /dev/null
+++ b/apps/dogwoodhatch/main_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/adminapi"
+	"github.com/dogwoodhatch/dogwoodhatch/profile"
+	"github.com/dogwoodhatch/dogwoodhatch/publish"
+	standin "github.com/dogwoodhatch/dogwoodhatch/standin/store"
+	"github.com/dogwoodhatch/dogwoodhatch/store"
+)
+
+type fakeNode struct{ *profile.Book }
+
+func (fakeNode) Members() []adminapi.Member {
+	return []adminapi.Member{
+		{Node: "n1", Service: "tejas", Addr: "10.0.0.1:7400", Region: "cartago", FailureDomain: "cartago-a", State: "alive"},
+		{Node: "n2", Addr: "10.0.0.2:7400", Region: "limon", FailureDomain: "limon-b", State: "suspect"},
+	}
+}
+func (fakeNode) Drain() error   { return nil }
+func (fakeNode) Draining() bool { return false }
+
+// session runs commands against a node and keeps a transcript.
+type session struct {
+	t          *testing.T
+	dir        string
+	url        string
+	store      *standin.Server
+	loseAnswer bool // the node's next answer to a change is lost
+	transcript bytes.Buffer
+}
+
+func startSession(t *testing.T) *session {
+	t.Helper()
+	s := &session{t: t, dir: t.TempDir(), store: standin.New(standin.DefaultConfig())}
+	platform := httptest.NewServer(s.store)
+	opts := store.DefaultOptions()
+	opts.Timeout = 100 * time.Millisecond
+	cfg := publish.DefaultConfig()
+	cfg.Backoff = time.Millisecond
+	hash := sha256.Sum256([]byte("secret"))
+	credential, err := adminapi.ParseCredential("ann", hex.EncodeToString(hash[:]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := func() time.Time { return time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC) }
+	node := fakeNode{profile.NewBook()}
+	h := adminapi.New(adminapi.Deps{
+		Node: "n1", Fleet: node, Drainer: node, Book: node, Log: zap.NewNop(),
+		Publisher:   publish.New(store.NewClient(platform.URL, opts), cfg, clock),
+		Credentials: []adminapi.Credential{credential},
+	})
+	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.loseAnswer && r.Method != http.MethodGet {
+			s.loseAnswer = false
+			h.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() { admin.Close(); platform.CloseClientConnections(); platform.Close() })
+	s.url = admin.URL
+	s.file("token", "secret\n")
+	return s
+}
+
+func (s *session) file(name, text string) {
+	if err := os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// run executes one command; "FILE/x" names a file of the session.
+func (s *session) run(status int, line string) string {
+	s.t.Helper()
+	args := []string{"--node", s.url, "--token-file", filepath.Join(s.dir, "token")}
+	for _, arg := range strings.Fields(line) {
+		args = append(args, strings.Replace(arg, "FILE", s.dir, 1))
+	}
+	var out, errOut bytes.Buffer
+	got := run(args, &out, &errOut)
+	fmt.Fprintf(&s.transcript, "$ dogwoodhatch %s\n%s%s[%d]\n\n", line, out.String(), errOut.String(), got)
+	if got != status {
+		s.t.Errorf("%s: status %d, want %d: %s%s", line, got, status, out.String(), errOut.String())
+	}
+	return out.String() + errOut.String()
+}
+
+var (
+	uuidText = regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}`)
+	urlText  = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+)
+
+func (s *session) assert(name string) {
+	text := strings.ReplaceAll(s.transcript.String(), s.dir, "FILE")
+	text = uuidText.ReplaceAllString(text, "UUID")
+	text = urlText.ReplaceAllString(text, "NODE")
+	goldie.New(s.t).Assert(s.t, name, []byte(text))
+}
+
+const calm = "[default]\nretries = 1\n"
+
+func TestOperatorsSession(t *testing.T) {
+	s := startSession(t)
+	s.file("calm.ini", calm)
+	s.file("bad.ini", "[default]\nretries = many\n[colours]\n")
+	s.run(exitUsage, "profile put calm FILE/calm.ini")
+	s.run(exitOK, "profile put calm FILE/calm.ini --create")
+	s.run(exitConflict, "profile put calm FILE/calm.ini --create")
+	s.run(exitFault, "profile put calm FILE/bad.ini --base 1")
+	s.file("edited.ini", s.run(exitOK, "profile get calm")+"idempotent = true\n")
+	s.run(exitOK, "profile put calm FILE/edited.ini")
+	s.run(exitConflict, "profile put calm FILE/edited.ini")
+	s.run(exitOK, "service bind tejas calm --create")
+	s.run(exitOK, "service get tejas")
+	s.run(exitConflict, "profile delete calm --base 2")
+	s.run(exitOK, "profile undo calm --base 2")
+	s.run(exitOK, "profile list")
+	s.run(exitOK, "profile history calm")
+	s.run(exitFault, "profile get storm")
+	s.run(exitOK, "members")
+	s.run(exitOK, "members --service tejas --json")
+	s.run(exitOK, "status")
+	s.run(exitOK, "drain")
+	s.run(exitFault, "check FILE/calm.ini FILE/bad.ini")
+	s.run(exitUsage, "change resolve 7")
+	s.run(exitUsage, "profile burn calm")
+	s.assert("session")
+}
+
+func TestLostAnswers(t *testing.T) {
+	s := startSession(t)
+	s.file("calm.ini", calm)
+	s.store.SetFaults(standin.Faults{LoseAnswers: 1})
+	s.run(exitOK, "profile put calm FILE/calm.ini --create")
+	s.loseAnswer = true
+	s.run(exitOK, "profile put calm FILE/calm.ini --base 1")
+	s.store.SetFaults(standin.Faults{LoseRequests: 3})
+	told := s.run(exitNotKnown, "profile put calm FILE/calm.ini --base 2")
+	ref := regexp.MustCompile(`resolve (\S+)`).FindStringSubmatch(told)[1]
+	s.run(exitNotKnown, "change resolve "+ref)
+	s.run(exitConflict, "change resolve --settle "+ref)
+	s.store.SetFaults(standin.Faults{Down: true})
+	s.run(exitFault, "profile put calm FILE/calm.ini --base 3")
+	s.loseAnswer = true
+	s.run(exitNotKnown, "profile put calm FILE/calm.ini --base 3")
+	s.assert("lost_answers")
+}
+
+func TestExampleProfiles(t *testing.T) {
+	var out bytes.Buffer
+	if status := run([]string{"check", "../../profiles/bluebonnet.ini", "../../profiles/asociacion.ini"}, &out, &out); status != exitOK {
+		t.Fatalf("status %d: %s", status, out.String())
+	}
+	for _, c := range []struct{ profile, method, path, class string }{
+		{"bluebonnet", "POST", "/reports", "report-purchase"},
+		{"bluebonnet", "POST", "/rates", "rate-submission"},
+		{"bluebonnet", "GET", "/quotes/7", "quote-lookup"},
+		{"bluebonnet", "GET", "/", "browsing"},
+		{"asociacion", "POST", "/tiles", "tile-purchase"},
+		{"asociacion", "POST", "/firings", "firing-record"},
+		{"asociacion", "GET", "/cones/6", "cone-chart"},
+		{"asociacion", "POST", "/recipes", "recipe-publication"},
+		{"asociacion", "GET", "/recipes", "archive-browsing"},
+	} {
+		text, err := os.ReadFile("../../profiles/" + c.profile + ".ini")
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := profile.Parse(c.profile, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := p.Match(c.method, c.path)
+		if got.Name != c.class || (c.method == "POST" && got.Idempotent) {
+			t.Errorf("%s: %s %s is %s, idempotent %t", c.profile, c.method, c.path, got.Name, got.Idempotent)
+		}
+	}
+}
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -202,14 +202,13 @@
 		if err == nil {
 			return Outcome{Verdict: Accepted, Change: ref, Revision: revision}, nil
 		}
-		switch errs.KindOf(err) {
-		case errs.Conflict:
+		kind := errs.KindOf(err)
+		if kind == errs.Conflict {
 			return p.readBack(ctx, ref, maybe), nil
-		case errs.Unknown:
-			maybe = true
-		case errs.Unavailable:
-		default:
-			return Outcome{}, err
+		}
+		maybe = maybe || kind == errs.Unknown
+		if kind != errs.Unknown && kind != errs.Unavailable {
+			break
 		}
 	}
 	if maybe {
--- a/publish/resolve.go
+++ b/publish/resolve.go
@@ -21,7 +21,7 @@
 	}
 	base := ref.Base
 	for i, c := range now.Record.History {
-		revision := revisionOf(now, i)
+		revision := now.RevisionAt(i)
 		switch {
 		case c.ID == ref.ID:
 			return Outcome{Verdict: Accepted, Change: ref, Revision: revision}
@@ -43,13 +43,13 @@
 	return out
 }
 
-// revisionOf returns the store revision of an entry of the history: the base of
-// the next one.
-func revisionOf(now Versioned, i int) uint64 {
-	if i+1 < len(now.Record.History) {
-		return now.Record.History[i+1].Base
+// RevisionAt returns the store revision of an entry of the record's history:
+// the base of the next one.
+func (v Versioned) RevisionAt(i int) uint64 {
+	if i+1 < len(v.Record.History) {
+		return v.Record.History[i+1].Base
 	}
-	return now.Revision
+	return v.Revision
 }
 
 // orConflict turns any verdict but Accepted into a conflict with the record in
