--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,193 @@
+package load
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/standin/backend"
+	"github.com/dogwoodhatch/dogwoodhatch/standin/backend/payload"
+)
+
+const testMix = `
+[class purchase]
+service = reportshop
+method = POST
+path = /reports
+body = 100
+idempotent = false
+timeout = 2s
+`
+
+// faultyServer is a node and a backend server in one, whose faults are known.
+type faultyServer struct {
+	mu     sync.Mutex
+	report backend.Executions
+	answer func(f *faultyServer, w http.ResponseWriter, r *http.Request)
+}
+
+// run records an execution of the request.
+func (f *faultyServer) run(r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.report.List = append(f.report.List, backend.Execution{
+		ID:  r.Header.Get(backend.RequestIDHeader),
+		Key: r.Header.Get(backend.IdempotencyKeyHeader),
+	})
+}
+
+func (f *faultyServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/executions" {
+		f.answer(f, w, r)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	json.NewEncoder(w).Encode(f.report)
+}
+
+func whole(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(backend.RequestIDHeader)
+	w.Header().Set(backend.RequestIDHeader, id)
+	w.Write(payload.Body(id, payload.DefaultSize))
+}
+
+func refuse(w http.ResponseWriter) {
+	w.Header().Set(outcomeHeader, "refused")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// runAgainst sends load to a server that answers so.
+func runAgainst(t *testing.T, answer func(*faultyServer, http.ResponseWriter, *http.Request), change func(*Options)) *Report {
+	t.Helper()
+	server := httptest.NewServer(&faultyServer{answer: answer})
+	t.Cleanup(server.Close)
+	opts := DefaultOptions()
+	opts.Targets, opts.Backends = []string{server.URL}, []string{server.URL}
+	opts.Rate, opts.Duration, opts.Settle, opts.ClientPause = 200, 100*time.Millisecond, 0, 0
+	opts.Mix = t.TempDir() + "/mix.ini"
+	writeFile(t, opts.Mix, testMix)
+	change(opts)
+	run, err := New(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	report, err := run.Main()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.All.Offered == 0 {
+		t.Fatal("no request was sent")
+	}
+	return report
+}
+
+func TestEachFaultIsFound(t *testing.T) {
+	verdict := func(v Verdict) func(*Report) int {
+		return func(r *Report) int { return r.All.Verdicts[v] }
+	}
+	cases := map[string]struct {
+		answer func(*faultyServer, http.ResponseWriter, *http.Request)
+		count  func(*Report) int
+		sound  bool
+	}{
+		"whole": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			f.run(r)
+			whole(w, r)
+		}, verdict(Whole), true},
+		"header of another request": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(backend.RequestIDHeader, "another")
+			w.Write(payload.Body(r.Header.Get(backend.RequestIDHeader), payload.DefaultSize))
+		}, verdict(Wrong), false},
+		"body of another request": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(backend.RequestIDHeader, r.Header.Get(backend.RequestIDHeader))
+			w.Write(payload.Body("another", payload.DefaultSize))
+		}, verdict(Wrong), false},
+		"truncated with a clean end": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get(backend.RequestIDHeader)
+			w.Header().Set(backend.RequestIDHeader, id)
+			w.Write(payload.Body(id, payload.DefaultSize)[:1000])
+		}, verdict(Wrong), false},
+		"truncated by a cut": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(payload.DefaultSize))
+			w.Write(make([]byte, 1000))
+			panic(http.ErrAbortHandler)
+		}, func(r *Report) int { return min(r.All.Cut, r.All.Verdicts[Unknown]) }, true},
+		"run twice": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			f.run(r)
+			f.run(r)
+			whole(w, r)
+		}, func(r *Report) int { return r.Audit.Twice }, false},
+		"run twice, key lost": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			f.run(r)
+			r.Header.Del(backend.IdempotencyKeyHeader)
+			f.run(r)
+			whole(w, r)
+		}, func(r *Report) int { return r.Audit.Twice }, false},
+		"falsely refused": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			f.run(r)
+			refuse(w)
+		}, func(r *Report) int { return r.Audit.FalseRefused }, false},
+		"falsely refused, known from a deeper call": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			r.Header.Set(backend.RequestIDHeader, r.Header.Get(backend.RequestIDHeader)+">0.quotedesk")
+			f.run(r)
+			refuse(w)
+		}, func(r *Report) int { return r.Audit.FalseRefused }, false},
+		"refused": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			refuse(w)
+		}, verdict(Refused), true},
+		"unknown": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(outcomeHeader, "unknown")
+			w.WriteHeader(http.StatusBadGateway)
+		}, verdict(Unknown), true},
+		"failed": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(http.StatusBadGateway)
+		}, verdict(Failed), true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := runAgainst(t, c.answer, func(*Options) {})
+			if got := c.count(r); got != r.All.Offered || r.Sound() != c.sound {
+				t.Fatalf("counted %d of %d, sound %t: %s", got, r.All.Offered, r.Sound(), r.Line())
+			}
+		})
+	}
+}
+
+func TestLateAnswerIsNoGoodput(t *testing.T) {
+	r := runAgainst(t, func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+		time.Sleep(30 * time.Millisecond)
+		whole(w, r)
+	}, func(o *Options) {
+		writeFile(t, o.Mix, testMix+"timeout = 10ms\n")
+		o.Grace = 10 * time.Second
+	})
+	if got := r.All.Verdicts[Late]; got != r.All.Offered {
+		t.Fatalf("%d late: %s", got, r.Line())
+	}
+}
+
+func TestClientsComeBackWithTheSameKey(t *testing.T) {
+	var mu sync.Mutex
+	seen := make(map[string]int)
+	r := runAgainst(t, func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		key := r.Header.Get(backend.IdempotencyKeyHeader)
+		seen[key]++
+		if seen[key] <= 2 {
+			refuse(w)
+			return
+		}
+		f.run(r)
+		whole(w, r)
+	}, func(o *Options) { o.ClientRetries = 2 })
+	all := r.All
+	if all.Verdicts[Whole] != all.Offered || all.Attempts != 3*all.Offered || len(seen) != all.Offered || !r.Sound() {
+		t.Fatalf("%d keys: %s", len(seen), r.Line())
+	}
+}
