Keys lost with two holders are refused; broken streams stay visible

A key has two holders. After two losses among the members of a service a claim made before the first may be known to nobody, so keys minted before the first loss are now refused as not proved. Asking three holders was weighed: it moves the case to three losses at the price of one more refusal per dead holder, and it does not end the need for this rule.

A large answer that breaks off while it is streamed now also shows to callers that do not use chunked encoding: the declared length is passed on.

The declared length of an answer to HEAD was compared with its empty body and made the answer look truncated; net/http checks lengths already, so the second comparison is gone.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -1,7 +1,10 @@
 package e2e
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -337,3 +340,58 @@
 		t.Errorf("after malformed input: %v", r)
 	}
 }
+
+// TestBrokenAnswerNeverLooksWhole kills the target while it sends an answer
+// that is too large to be held until it is whole.
+func TestBrokenAnswerNeverLooksWhole(t *testing.T) {
+	f := newFleet(t)
+	entry := f.startNode("entry", nodeOptions{})
+	target := f.startNode("target", nodeOptions{})
+	f.startBackend(target, "rates", "--service-time", "1ms")
+	entry.awaitService("rates")
+	if r := entry.call("rates", callOptions{path: "/big?size=8000000", id: "ok"}); !whole(r) || len(r.body) < 8000000 || r.broken {
+		t.Fatalf("large answer of %d bytes: %v", len(r.body), r)
+	}
+	conn, err := net.Dial("tcp", entry.outside)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /big?size=64000000 HTTP/1.1\r\nHost: rates\r\nX-Request-Id: cut\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	target.kill()
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err == nil {
+		t.Errorf("an answer cut after %d of 64000000 bytes looked whole", n)
+	}
+	t.Logf("%d bytes, then %v", n, err)
+}
+
+// TestRetriesAreBoundedAcrossTheChain calls a service whose own calls time out.
+// In a chain without fan-out each retry anywhere adds at most one attempt at
+// the last service.
+func TestRetriesAreBoundedAcrossTheChain(t *testing.T) {
+	const retries = 4 // of class lookup
+	f := newFleet(t)
+	f.startStore()
+	entry := f.startNode("entry", nodeOptions{})
+	first := f.startNode("first", nodeOptions{})
+	last := f.startNode("last", nodeOptions{})
+	f.startBackend(first, "front", "--service-time", "1ms", "--calls", "deep:/lookup/y")
+	f.startBackend(last, "deep", "--service-time", "1ms")
+	f.publish(testProfile, "front", "deep")
+	entry.awaitRecord("services/front")
+	first.awaitRecord("services/deep")
+	entry.awaitService("front")
+	last.backend.signal(syscall.SIGSTOP)
+	r := entry.call("front", callOptions{path: "/lookup/x", id: "chain"})
+	time.Sleep(time.Second) // the attempts of a request given up on end
+	n := last.logCount("event=attempt ", "service=deep", "class=lookup")
+	t.Logf("%v, %d attempts at the last service", r, n)
+	if n < 2 || n > retries+1 {
+		t.Errorf("%d attempts at the last service, want 2 to %d", n, retries+1)
+	}
+}
--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -159,6 +159,5 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	Length int64 // -1 if not known
-	Shed   bool  // the backend server proved that it did not run the call
+	Shed   bool // the backend server proved that it did not run the call
 }
--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -62,7 +62,6 @@
 		Status: resp.StatusCode,
 		Header: resp.Header,
 		Body:   resp.Body,
-		Length: resp.ContentLength,
 		Shed:   b.isShed(resp),
 	}, true, nil
 }
--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -30,6 +30,7 @@
 	naive    bool
 	withdraw bool
 	claims   bool
+	whole    bool // a broken answer is an unknown outcome
 	buffer   int // bytes of an answer held until it is whole
 
 	mu       sync.RWMutex
@@ -42,6 +43,7 @@
 		k: k, log: k.Log, naive: b.Naive(),
 		withdraw: !b.Off(settings.MechanismWithdraw),
 		claims:   !b.Off(settings.MechanismClaims),
+		whole:    !b.Off(settings.MechanismWholeAnswer),
 		buffer:   k.Settings.Limits.BufferBytes,
 		services: map[string]*service{},
 	}
@@ -227,7 +229,7 @@
 	if ans.Outcome != call.Answered {
 		return ans
 	}
-	return hold(ctx, ans, r.c.buffer)
+	return hold(ctx, ans, r.c.buffer, r.c.whole)
 }
 
 // prove asks the target to withdraw a lost attempt; when the target promises
--- a/plugin/caller/service.go
+++ b/plugin/caller/service.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
 	"github.com/dogwoodhatch/dogwoodhatch/retry"
 	"github.com/dogwoodhatch/dogwoodhatch/routing"
+	"github.com/dogwoodhatch/dogwoodhatch/settings"
 )
 
 // service is the routing state towards one service. mu is held for
@@ -31,6 +33,9 @@
 	cfg := routing.DefaultConfig()
 	cfg.Region = k.Settings.Node.Region
 	cfg.Domain = k.Settings.Node.FailureDomain
+	if k.Settings.Baseline.Off(settings.MechanismThrottle) {
+		cfg.ThrottleFactor = math.MaxFloat64
+	}
 	return &service{
 		name:   name,
 		router: routing.New(cfg, rng),
--- a/plugin/entry/answer.go
+++ b/plugin/entry/answer.go
@@ -38,19 +38,25 @@
 
 // writeAnswer copies a whole answer. One that breaks off after its head was
 // passed on ends the connection, so that it never looks whole.
-func (e *entry) writeAnswer(w http.ResponseWriter, _ *http.Request, req *kernel.Request, ans *kernel.Answer) {
+func (e *entry) writeAnswer(w http.ResponseWriter, r *http.Request, req *kernel.Request, ans *kernel.Answer) {
 	defer ans.Body.Close()
 	h := w.Header()
 	for name, values := range ans.Header {
 		h[name] = values
 	}
+	// The length of an answer without a body (HEAD, 304) describes another one.
+	length := h.Get("Content-Length")
+	if ans.Length > 0 || length == "" && ans.Length == 0 && r.Method != http.MethodHead {
+		length = strconv.FormatInt(ans.Length, 10)
+	}
 	for _, name := range hopByHop {
 		h.Del(name)
 	}
 	removeOwn(h)
 	h.Set(HeaderOutcome, call.Answered.String())
-	if ans.Length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(ans.Length, 10))
+	// A declared length lets the caller see that a streamed answer broke off.
+	if length != "" {
+		h.Set("Content-Length", length)
 	}
 	w.WriteHeader(ans.Status)
 	if _, err := io.Copy(w, ans.Body); err != nil {
--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -29,11 +29,12 @@
 	k       *kernel.Kernel
 	log     *zap.Logger
 	context bool // sub-calls inherit from the execution that makes them
+	bound   bool // one retry allowance covers the whole chain
 	servers []*http.Server
 }
 
 func newEntry(k *kernel.Kernel) *entry {
-	return &entry{k: k, log: k.Log, context: !k.Settings.Baseline.Off(settings.MechanismContext)}
+	return &entry{k: k, log: k.Log, context: !k.Settings.Baseline.Off(settings.MechanismContext), bound: !k.Settings.Baseline.Off(settings.MechanismRetryBound)}
 }
 
 // Start implements kernel.Plugin.
--- a/plugin/entry/request.go
+++ b/plugin/entry/request.go
@@ -54,6 +54,9 @@
 	if ok && e.context {
 		req.Chain = exec.Chain
 		req.Allowance = exec.Allowance
+		if !e.bound {
+			req.Allowance = retry.NewAllowance(e.profile(req.Service).Match(r.Method, r.URL.Path).Retries)
+		}
 	} else {
 		e.begin(req, &e.profile(req.Service).SubCall, r)
 	}
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -251,8 +251,8 @@
 	if err := w.WriteHead(resp.Status, resp.Header, a.pressure()); err != nil {
 		return call.Result{Outcome: call.Unknown, Reason: call.ReasonCanceled}, admission.Sample{Canceled: true}
 	}
-	n, err := io.Copy(w, resp.Body)
-	if err != nil || resp.Length >= 0 && n != resp.Length {
+	// net/http reports a body that is shorter than its declared length.
+	if _, err := io.Copy(w, resp.Body); err != nil {
 		return call.Result{Outcome: call.Unknown, Reason: call.ReasonTruncated}, admission.Sample{Failed: ctx.Err() == nil, Canceled: ctx.Err() != nil}
 	}
 	return res, admission.Sample{Failed: resp.Status >= 500}
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -43,6 +43,7 @@
 	leaving  bool
 	renewed  time.Time
 	running  map[string]*kernel.Execution
+	watched  holderWatch
 }
 
 func newTarget(k *kernel.Kernel) *target {
@@ -202,6 +203,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.watched.update(t.k.Fleet, c.GetService(), t.claims, time.Now())
 	granted, reason := t.claims.Claim(c.GetService(), c.GetKey(), id, minted, time.Now())
 	return &wire.ClaimReply{Granted: granted, Reason: string(reason)}
 }
