--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -31,7 +31,7 @@
 	withdraw bool
 	claims   bool
 	whole    bool // a broken answer is an unknown outcome
-	buffer   int // bytes of an answer held until it is whole
+	buffer   int  // bytes of an answer held until it is whole
 
 	mu       sync.RWMutex
 	services map[string]*service
