Admission: baseline per class with a margin for chance, probes for service times

Cause: a latency baseline that is the plain minimum of noisy means sank by chance, and the limit with it; the estimate of the service time of a class that had become hopeless was never corrected, as no call of the class ran any more.

Change: windows are compared with each recent bucket class by class, with weights by the inverse of the variance and a margin of 1.5 standard errors. A cut that does not lower the latency is undone. Samples count again only after the change of the limit has settled. A hopeless class keeps a few calls running.

--- /dev/null
+++ b/admission/baseline.go
@@ -0,0 +1,134 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// minCoverage is the part of the samples that must be in classes that occur
+	// on both sides of a comparison.
+	minCoverage = 0.5
+
+	// confidence is the number of standard errors by which a ratio is lowered.
+	confidence = 1.5
+)
+
+// classSum adds up the latencies of one class, in seconds.
+type classSum struct {
+	seconds, squares float64
+	count            int
+}
+
+func (s classSum) mean() float64 { return s.seconds / float64(s.count) }
+
+// scatter returns the sum of squared differences from the mean.
+func (s classSum) scatter() float64 { return max(0, s.squares-s.seconds*s.mean()) }
+
+// classSums adds up the latencies of each class over some time.
+type classSums struct {
+	classes []classSum // by classLatency.index
+	count   int
+}
+
+func (s *classSums) add(index int, seconds float64) {
+	if index >= len(s.classes) {
+		s.classes = append(s.classes, make([]classSum, index+1-len(s.classes))...)
+	}
+	c := &s.classes[index]
+	c.seconds += seconds
+	c.squares += seconds * seconds
+	c.count++
+	s.count++
+}
+
+// ratio returns how much longer calls took than in base, less a margin for
+// chance. It is false if too few classes can be compared.
+//
+// The means of a class are weighted by the inverse of the variance of their
+// difference, so that a class with few samples on either side counts little. The
+// relative variance is taken to be the same in all classes.
+func (s *classSums) ratio(base *classSums) (float64, bool) {
+	var measured, expected, squares, scatter float64
+	covered, freedom := 0, 0
+	for i := range min(len(s.classes), len(base.classes)) {
+		a, b := s.classes[i], base.classes[i]
+		if a.count == 0 || b.count == 0 {
+			continue
+		}
+		weight := 1 / (1/float64(a.count) + 1/float64(b.count))
+		measured += weight * a.mean()
+		expected += weight * b.mean()
+		pooled := (a.seconds + b.seconds) / float64(a.count+b.count)
+		squares += weight * pooled * pooled
+		scatter += (a.scatter() + b.scatter()) / (pooled * pooled)
+		freedom += a.count + b.count - 2
+		covered += a.count
+	}
+	if expected <= 0 || freedom <= 0 || float64(covered) < minCoverage*float64(s.count) {
+		return 1, false
+	}
+	margin := confidence * math.Sqrt(squares*scatter/float64(freedom))
+	return (measured - margin) / expected, true
+}
+
+// baseline holds the latencies of the recent past in buckets. The bucket with
+// the lowest latencies stands for the backend server without queueing.
+//
+// Classes are compared one by one, because their sub-calls differ: a change in
+// the mix of classes must not look like a change of the backend server.
+type baseline struct {
+	buckets []*classSums // oldest first
+	open    classSums
+	since   time.Time
+}
+
+// add records a call and reports whether that closed a bucket.
+func (b *baseline) add(cfg *Config, index int, seconds float64, now time.Time) bool {
+	if b.open.count == 0 {
+		b.since = now
+	}
+	b.open.add(index, seconds)
+	samples := cfg.BucketSamples
+	if b.empty() {
+		samples = cfg.WindowSamples // calls wait for the first one
+	}
+	if b.open.count < samples || now.Sub(b.since) < cfg.BucketDuration {
+		return false
+	}
+	if len(b.buckets) >= cfg.Buckets {
+		b.buckets = slices.Delete(b.buckets, 0, 1)
+	}
+	closed := b.open
+	b.buckets = append(b.buckets, &closed)
+	b.dropOpen()
+	return true
+}
+
+// empty reports whether no bucket has closed yet.
+func (b *baseline) empty() bool { return len(b.buckets) == 0 }
+
+// dropOpen discards the open bucket.
+func (b *baseline) dropOpen() { b.open = classSums{} }
+
+// ratio returns how much longer the calls of a window took than in the bucket
+// with the lowest latencies; 1 if there is none to compare with.
+func (b *baseline) ratio(window *classSums) float64 {
+	highest := 0.0
+	for _, bucket := range b.buckets {
+		if r, ok := window.ratio(bucket); ok {
+			highest = max(highest, r)
+		}
+	}
+	if highest == 0 {
+		return 1
+	}
+	return highest
+}
+
+// rebase makes the latencies of a window the baseline.
+func (b *baseline) rebase(window classSums) {
+	b.buckets = []*classSums{&window}
+	b.dropOpen()
+}
--- a/admission/config.go
+++ b/admission/config.go
@@ -31,8 +31,11 @@
 	WindowSamples  int
 	WindowDuration time.Duration
 
-	// BucketDuration is the time over which one baseline value is averaged,
-	// and Buckets is the number of values whose minimum is the baseline.
+	// BucketSamples and BucketDuration are the least number of samples and the
+	// least time that make one baseline value; Buckets is the number of values
+	// whose minimum is the baseline. Small buckets lower the baseline by chance,
+	// large ones miss short probes.
+	BucketSamples  int
 	BucketDuration time.Duration
 	Buckets        int
 
@@ -91,11 +94,12 @@
 		InitialLimit:   8,
 		MinLimit:       4,
 		MaxLimit:       1024,
-		GrowTolerance:  1.25,
-		CutTolerance:   1.8,
-		WindowSamples:  20,
+		GrowTolerance:  1.3,
+		CutTolerance:   1.6,
+		WindowSamples:  32,
 		WindowDuration: 100 * time.Millisecond,
-		BucketDuration: 500 * time.Millisecond,
+		BucketSamples:  80,
+		BucketDuration: 300 * time.Millisecond,
 		Buckets:        20,
 		ProbeInterval:  5 * time.Second,
 		QueueLimit:     512,
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -32,7 +32,6 @@
 
 	state ticketState
 	seq   uint64
-	epoch uint32
 }
 
 // VerdictKind is the decision about an offered call.
@@ -158,10 +157,7 @@
 	if !t.Deadline.After(now) {
 		return call.ReasonDeadline
 	}
-	if c.inFlight < c.cfg.MinLimit {
-		return call.ReasonNone // keeps samples coming when all looks hopeless
-	}
-	slack := t.Deadline.Sub(now) - c.lat.typical(t.Class)
+	slack := t.Deadline.Sub(now) - c.lat.expect(t.Class, now)
 	if slack <= 0 {
 		return call.ReasonDeadline
 	}
@@ -223,7 +219,7 @@
 	t.state = stateDone
 	c.limiter.observe(c.inFlight, c.queue.size, c.limit(now))
 	c.inFlight--
-	c.limiter.sample(t.Class, t.epoch, s, now)
+	c.limiter.sample(c.lat.end(t.Class), s, now)
 	return c.dispatch(now)
 }
 
@@ -250,20 +246,16 @@
 		return nil
 	}
 	rate := c.throughput(now)
-	probing := c.inFlight < c.cfg.MinLimit
 	dropped := c.queue.filter(func(t *Ticket, ahead int) bool {
-		if probing {
-			return t.Deadline.After(now)
-		}
 		wait := toDuration(float64(ahead) / rate)
-		return !c.late(t, now.Add(wait))
+		return !c.late(t, wait, now)
 	})
 	return c.refuseAll(dropped, call.ReasonDeadline, now)
 }
 
-// late reports whether t, started at the given time, would miss its deadline.
-func (c *Controller) late(t *Ticket, start time.Time) bool {
-	return start.Add(c.lat.typical(t.Class)).After(t.Deadline)
+// late reports whether t would miss its deadline if it started after a wait.
+func (c *Controller) late(t *Ticket, wait time.Duration, now time.Time) bool {
+	return !now.Add(wait).Add(c.lat.expect(t.Class, now)).Before(t.Deadline)
 }
 
 // Leave begins a graceful shutdown: all waiting and all new calls are refused,
@@ -285,8 +277,7 @@
 
 // Restart tells that the backend server came back cold.
 func (c *Controller) Restart(now time.Time) {
-	c.lat.reset()
-	c.limiter.nextEpoch(now)
+	c.limiter.restart(now)
 	c.ramp.begin(&c.cfg, c.limiter.limit, now)
 }
 
@@ -349,13 +340,7 @@
 
 // hopeless reports whether t should not be started any more.
 func (c *Controller) hopeless(t *Ticket, now time.Time) bool {
-	if c.cfg.Disabled.DeadlineDrop {
-		return false
-	}
-	if c.inFlight < c.cfg.MinLimit {
-		return !t.Deadline.After(now)
-	}
-	return c.late(t, now)
+	return !c.cfg.Disabled.DeadlineDrop && c.late(t, 0, now)
 }
 
 // next returns the ticket to start, in queue order but for the small share of
@@ -385,7 +370,7 @@
 	for _, s := range c.queue.byPrio[:c.queue.level(lesser.Priority)] {
 		for _, t := range s {
 			ahead++
-			slack := t.Deadline.Sub(now) - c.lat.typical(t.Class)
+			slack := t.Deadline.Sub(now) - c.lat.expect(t.Class, now)
 			wait := toDuration(float64(ahead) / rate)
 			if wait > time.Duration(c.cfg.SlackFraction*float64(slack)) {
 				return true
@@ -398,8 +383,8 @@
 // run marks t as being executed.
 func (c *Controller) run(t *Ticket, now time.Time) {
 	t.state = stateRunning
-	t.epoch = c.limiter.epoch
 	c.inFlight++
+	c.lat.start(t.Class, now)
 	c.rates.started[prioIndex(t.Priority)].add(now)
 	c.limiter.observe(c.inFlight, c.queue.size, c.limit(now))
 }
--- a/admission/latency.go
+++ b/admission/latency.go
@@ -1,49 +1,42 @@
 package admission
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
-	serviceGain     = 0.1 // weight of a new sample in the typical service time
-	minBucketCount  = 20  // samples below which a baseline bucket stays open
+	// classProbes is the number of calls of a class that may be in flight
+	// although its service time leaves them no hope. Their samples show when the
+	// class has become fast again.
+	classProbes = 2
+
+	// While that many calls hang, another one may start after a part of the
+	// expected service time.
+	probeSpacing = 0.25
+
+	// A call that takes less than surpriseFraction of what was expected allows
+	// surpriseStarts more, so that the samples multiply after a slowdown has
+	// ended. The product of its probability and surpriseStarts is below 1 while
+	// the expectation is right, also for exponentially distributed times.
+	surpriseFraction = 0.125
+	surpriseStarts   = 2
+	maxHope          = 8
+
+	// clipFactor, times the typical service time, is the most that one call
+	// counts for.
+	clipFactor = 4
+
+	serviceGain     = 0.1 // weight of a new sample in the service time
 	maxClasses      = 64  // classes with statistics of their own
 	overflowClass   = ""  // statistics shared by all further classes
 	initialMeanTime = 20 * time.Millisecond
 )
 
-// classLatency holds the latency statistics of one class, in seconds. Classes
-// are kept apart because their sub-calls differ: a change in the mix of classes
-// must not look like a change of the backend server.
+// classLatency holds the moving averages of one class, in seconds.
 type classLatency struct {
-	mean, dev float64 // moving averages of service time and absolute deviation
-
-	buckets     []float64 // means of closed buckets, oldest first
-	bucketSum   float64
-	bucketCount int
-	bucketStart time.Time
-}
-
-// add records a complete call.
-func (c *classLatency) add(cfg *Config, seconds float64, now time.Time) {
-	c.smooth(seconds)
-	if c.bucketCount == 0 {
-		c.bucketStart = now
-	}
-	c.bucketSum += seconds
-	c.bucketCount++
-	if c.bucketCount >= minBucketCount && now.Sub(c.bucketStart) >= cfg.BucketDuration {
-		c.closeBucket(cfg)
-	}
-}
-
-// addLowerBound records a call that ended early: it would have taken at least
-// this long, so it may raise the typical service time but not the baseline.
-func (c *classLatency) addLowerBound(seconds float64) {
-	if seconds > c.mean {
-		c.smooth(seconds)
-	}
+	index     int // in a classSums
+	mean, dev float64
+	inFlight  int
+	lastStart time.Time
+	hope      int // starts allowed although there seems to be no time
 }
 
 func (c *classLatency) smooth(seconds float64) {
@@ -52,49 +45,18 @@
 		c.dev = seconds / 2
 		return
 	}
-	diff := seconds - c.mean
+	diff := min(seconds, clipFactor*c.typical()) - c.mean
 	c.mean += serviceGain * diff
 	c.dev += serviceGain * (max(diff, -diff) - c.dev)
 }
 
-func (c *classLatency) closeBucket(cfg *Config) {
-	if len(c.buckets) >= cfg.Buckets {
-		c.buckets = slices.Delete(c.buckets, 0, 1)
-	}
-	c.buckets = append(c.buckets, c.bucketSum/float64(c.bucketCount))
-	c.dropBucket()
-}
-
-// dropBucket discards the open bucket.
-func (c *classLatency) dropBucket() {
-	c.bucketSum = 0
-	c.bucketCount = 0
-}
-
-// baseline returns the latency without queueing in the backend server, or 0 if
-// it is not known yet.
-func (c *classLatency) baseline() float64 {
-	if len(c.buckets) == 0 {
-		return 0
-	}
-	return slices.Min(c.buckets)
-}
-
-// rebase raises the baseline to the present mean.
-func (c *classLatency) rebase() {
-	for i, b := range c.buckets {
-		c.buckets[i] = max(b, c.mean)
-	}
-	c.dropBucket()
-}
-
-// typical returns the time that most calls of the class finish in, in seconds.
+// typical returns the time that most calls finish in, in seconds.
 func (c *classLatency) typical() float64 { return c.mean + c.dev }
 
-// latencies holds the statistics of all classes.
+// latencies holds the service times of each class and of all together.
 type latencies struct {
 	classes map[string]*classLatency
-	all     classLatency // of all classes together; only mean and dev are used
+	all     classLatency
 }
 
 func newLatencies() *latencies {
@@ -106,56 +68,72 @@
 	if c := l.classes[name]; c != nil {
 		return c
 	}
-	if len(l.classes) >= maxClasses {
+	if len(l.classes) >= maxClasses-1 {
 		name = overflowClass
 		if c := l.classes[name]; c != nil {
 			return c
 		}
 	}
-	c := &classLatency{}
+	c := &classLatency{index: len(l.classes)}
 	l.classes[name] = c
 	return c
 }
 
-// typical returns the typical service time of a class, or of all classes if
-// the class has no samples; 0 if nothing is known.
-func (l *latencies) typical(name string) time.Duration {
-	if c := l.classes[name]; c != nil && c.mean > 0 {
-		return toDuration(c.typical())
+// complete records a whole call.
+func (l *latencies) complete(c *classLatency, seconds float64) {
+	if seconds < surpriseFraction*c.typical() {
+		c.hope = min(c.hope+surpriseStarts, maxHope)
 	}
-	return toDuration(l.all.typical())
+	c.smooth(seconds)
+	l.all.smooth(seconds)
 }
 
-// mean returns the mean service time of all classes.
-func (l *latencies) mean() time.Duration {
-	if l.all.mean == 0 {
-		return initialMeanTime
+// partial records a call that ended early: it would have taken at least this
+// long, so it may raise the service time but not lower it.
+func (l *latencies) partial(c *classLatency, seconds float64) {
+	if seconds > c.mean {
+		c.smooth(seconds)
+	}
+	if seconds > l.all.mean {
+		l.all.smooth(seconds)
 	}
-	return toDuration(l.all.mean)
 }
 
-// rebase raises the baseline of all classes to their present means.
-func (l *latencies) rebase() {
-	for _, c := range l.classes {
-		c.rebase()
+// start records that a call of a class begins.
+func (l *latencies) start(name string, now time.Time) {
+	c := l.class(name)
+	c.inFlight++
+	c.lastStart = now
+	c.hope = max(0, c.hope-1)
+}
+
+// end records that a call of a class is over, and returns the class.
+func (l *latencies) end(name string) *classLatency {
+	c := l.class(name)
+	c.inFlight--
+	return c
+}
+
+// expect returns the service time to expect of another call of a class, 0 if
+// nothing is known or the class needs samples.
+func (l *latencies) expect(name string, now time.Time) time.Duration {
+	c := l.class(name)
+	typical := toDuration(c.typical())
+	spacing := time.Duration(probeSpacing * float64(typical))
+	if c.inFlight < classProbes || c.hope > 0 || now.Sub(c.lastStart) >= spacing {
+		return 0
 	}
+	return typical
 }
 
-// reset forgets the baselines, and keeps the service times as a first guess.
-func (l *latencies) reset() {
-	for _, c := range l.classes {
-		c.buckets = nil
-		c.dropBucket()
+// mean returns the mean service time of all classes.
+func (l *latencies) mean() time.Duration {
+	if l.all.mean == 0 {
+		return initialMeanTime
 	}
+	return toDuration(l.all.mean)
 }
 
 func toDuration(seconds float64) time.Duration {
 	return time.Duration(seconds * float64(time.Second))
 }
-
-// dropBuckets discards the open buckets of all classes.
-func (l *latencies) dropBuckets() {
-	for _, c := range l.classes {
-		c.dropBucket()
-	}
-}
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -1,21 +1,31 @@
 package admission
 
-import (
-	"time"
-)
+import "time"
 
 const (
-	slowStartFactor  = 1.5  // growth per window below the slow start threshold
-	growthFactor     = 0.05 // growth per window above it
-	latencyCutFactor = 0.7
-	shedCutFactor    = 0.8
-	probeFactor      = 0.75
-	inUseFraction    = 0.9 // of the limit in flight, for it to count as in use
-
-	// A cut of the limit to responseFraction must lower the latency to
-	// responseLatency of its value before, or the latency has another cause.
-	responseFraction = 0.5
-	responseLatency  = 0.75
+	slowStartFactor = 1.5  // growth per window below the slow start threshold
+	growthFactor    = 0.25 // growth per window above it, at the baseline latency
+	cutFactor       = 0.6  // when latency is too high
+	shedCutFactor   = 0.8  // when the backend server sheds
+	probeFactor     = 0.65
+	hintFactor      = 4   // of the initial limit, as far as a report may raise it
+	inUseFraction   = 0.9 // of the limit in flight, for it to count as in use
+
+	// A cut must lower the latency ratio to responseFactor of its value before,
+	// or the latency has another cause.
+	responseFactor = 0.8
+
+	// firstProbe is the wait for the first probe. The first baseline is often
+	// measured with calls waiting in the backend server.
+	firstProbe = time.Second
+
+	// judgeWindows is how many times more samples a window has after a cut.
+	judgeWindows = 2
+
+	// settleFactor, in typical service times, is how long after a change of the
+	// limit the calls that end were started under the old one or are the short
+	// ones among those started since.
+	settleFactor = 1.5
 
 	// A window with few samples closes after slowWindows times its duration.
 	slowWindowSamples = 5
@@ -28,32 +38,32 @@
 //
 // Latency includes sub-calls, so it also rises when a deeper service slows;
 // fewer calls in flight do not help then. The limiter therefore compares the
-// latency before and after a cut. If halving the limit did not lower the
-// latency, the limit is restored and the present latency becomes the baseline.
+// latency before and after a cut. If the cut did not lower the latency, the
+// limit is restored and the present latency becomes the baseline.
 //
-// The baseline is the windowed minimum of averaged latencies, per class. While
-// the limit is saturated it is lowered for a moment at intervals, as BBR does
-// for its minimum round-trip time (Cardwell et al., "BBR: Congestion-Based
-// Congestion Control", ACM Queue 2016).
+// While the limit is saturated it is lowered for a moment at intervals, so that
+// latency without queueing enters the baseline, as BBR does for its minimum
+// round-trip time (Cardwell et al., "BBR: Congestion-Based Congestion Control",
+// ACM Queue 2016).
 type limiter struct {
 	cfg       *Config
 	lat       *latencies
 	limit     float64
 	slowStart float64 // threshold up to which the limit grows fast
-	epoch     uint32  // calls started in an earlier epoch ran under another limit
 
+	baseline    baseline
+	window      classSums
 	windowStart time.Time
-	expected    float64 // sum of baselines over the samples of the window
-	measured    float64 // sum of latencies
-	samples     int
+	settled     time.Time // samples count from here on
 	inUse       bool
+	ratio       float64 // latency to baseline in the last window
 
 	cutFrom   float64 // limit before the first of a series of cuts, or 0
 	cutRatio  float64 // latency ratio that caused it
 	probeFrom float64 // limit to restore after a probe, or 0
 	lastProbe time.Time
+	probeWait time.Duration // until the next probe, growing to ProbeInterval
 	lastShed  time.Time
-	ratio     float64 // latency ratio of the last window
 }
 
 func newLimiter(cfg *Config, lat *latencies, now time.Time) *limiter {
@@ -64,6 +74,7 @@
 		slowStart:   float64(cfg.MaxLimit),
 		windowStart: now,
 		lastProbe:   now,
+		probeWait:   firstProbe,
 		ratio:       1,
 	}
 }
@@ -78,51 +89,60 @@
 	}
 }
 
-// sample records the end of a call that was started in the given epoch.
-func (l *limiter) sample(class string, epoch uint32, s Sample, now time.Time) {
+// sample records the end of a call.
+func (l *limiter) sample(c *classLatency, s Sample, now time.Time) {
 	if s.Shed {
-		l.shed(epoch, now)
+		l.shed(now)
 		return
 	}
 	seconds := s.Latency.Seconds()
-	c := l.lat.class(class)
-	partial := s.Failed || s.Canceled
-	base := c.baseline()
-	if partial {
-		c.addLowerBound(seconds)
-		l.lat.all.addLowerBound(seconds)
+	if s.Failed || s.Canceled {
+		short := seconds < c.mean
+		l.lat.partial(c, seconds)
+		if short {
+			return // a lower bound that says nothing
+		}
 	} else {
-		c.add(l.cfg, seconds, now)
-		l.lat.all.smooth(seconds)
+		l.lat.complete(c, seconds)
 	}
-	if epoch != l.epoch || base == 0 {
+	if now.Before(l.settled) {
 		return
 	}
-	if partial && seconds < base {
+	l.window.add(c.index, seconds)
+	closed := l.baseline.add(l.cfg, c.index, seconds, now)
+	if closed && l.probeFrom > 0 {
+		l.endProbe(now)
 		return
 	}
-	l.expected += base
-	l.measured += seconds
-	l.samples++
-	l.advance(now)
+	if l.windowComplete(now) {
+		l.advance(now)
+	}
 }
 
-// advance closes the window when it has seen enough.
-func (l *limiter) advance(now time.Time) {
+// windowComplete reports whether the window has seen enough.
+func (l *limiter) windowComplete(now time.Time) bool {
+	least := max(l.cfg.WindowDuration, l.lat.mean())
+	samples := l.cfg.WindowSamples
+	if l.cutFrom > 0 {
+		samples *= judgeWindows
+	}
 	elapsed := now.Sub(l.windowStart)
-	full := l.samples >= l.cfg.WindowSamples && elapsed >= l.cfg.WindowDuration
-	slow := l.samples >= slowWindowSamples && elapsed >= slowWindows*l.cfg.WindowDuration
-	if !full && !slow {
-		return
+	if l.window.count >= samples {
+		return elapsed >= least
 	}
-	l.ratio = l.measured / l.expected
+	return l.window.count >= slowWindowSamples && elapsed >= slowWindows*least
+}
+
+// advance changes the limit at the end of a window.
+func (l *limiter) advance(now time.Time) {
+	window := l.window
 	inUse := l.inUse
+	l.ratio = l.baseline.ratio(&window)
 	l.openWindow(now)
 	switch {
 	case l.probeFrom > 0:
-		l.endProbe(now)
 	case l.ratio > l.cfg.CutTolerance:
-		l.congested(now)
+		l.congested(window, now)
 	default:
 		l.calm(inUse, now)
 	}
@@ -130,29 +150,38 @@
 
 func (l *limiter) openWindow(now time.Time) {
 	l.windowStart = now
-	l.expected = 0
-	l.measured = 0
-	l.samples = 0
+	l.window = classSums{}
 	l.inUse = false
 }
 
+// settle makes samples count again only when they reflect the present limit.
+func (l *limiter) settle(now time.Time) {
+	wait := time.Duration(settleFactor * l.lat.all.typical() * float64(time.Second))
+	l.settled = now.Add(wait)
+	l.baseline.dropOpen()
+	l.openWindow(l.settled)
+}
+
 // calm handles a window whose latency is near the baseline.
 func (l *limiter) calm(inUse bool, now time.Time) {
 	l.cutFrom = 0
-	if !inUse {
+	if !inUse || l.baseline.empty() {
 		return
 	}
-	if now.Sub(l.lastProbe) >= l.cfg.ProbeInterval {
+	if l.limit >= l.slowStart && now.Sub(l.lastProbe) >= l.probeWait {
 		l.startProbe(now)
 		return
 	}
 	if l.ratio < l.cfg.GrowTolerance {
 		l.grow()
+		return
 	}
+	l.slowStart = min(l.slowStart, l.limit)
 }
 
 func (l *limiter) grow() {
-	next := l.limit + max(1, growthFactor*l.limit)
+	headroom := (l.cfg.GrowTolerance - l.ratio) / (l.cfg.GrowTolerance - 1)
+	next := l.limit * (1 + growthFactor*min(headroom, 1))
 	if l.limit < l.slowStart {
 		next = max(next, min(l.limit*slowStartFactor, l.slowStart))
 	}
@@ -160,66 +189,50 @@
 }
 
 // congested handles a window whose latency is far above the baseline.
-func (l *limiter) congested(now time.Time) {
+func (l *limiter) congested(window classSums, now time.Time) {
 	if l.cutFrom == 0 {
 		l.cutFrom = l.limit
 		l.cutRatio = l.ratio
-	}
-	if l.unresponsive() {
-		l.lat.rebase()
+	} else if l.ratio > responseFactor*l.cutRatio {
+		l.baseline.rebase(window)
 		l.set(l.cutFrom)
 		l.cutFrom = 0
-		l.nextEpoch(now)
+		l.settle(now)
 		return
 	}
-	l.set(l.limit * latencyCutFactor)
+	l.set(l.limit * cutFactor)
 	l.slowStart = l.limit
 	l.lastProbe = now
-	l.nextEpoch(now)
-}
-
-// unresponsive reports whether earlier cuts failed to lower the latency.
-func (l *limiter) unresponsive() bool {
-	deep := l.limit <= responseFraction*l.cutFrom || l.limit <= float64(l.cfg.MinLimit)
-	return deep && l.ratio > responseLatency*l.cutRatio
+	l.settle(now)
 }
 
 // shed handles a refusal by the backend server.
-func (l *limiter) shed(epoch uint32, now time.Time) {
+func (l *limiter) shed(now time.Time) {
 	if now.Sub(l.lastShed) > l.cfg.BucketDuration {
 		l.slowStart = l.limit * shedCutFactor
 	}
 	l.lastShed = now
-	if epoch != l.epoch {
+	if now.Before(l.settled) {
 		return
 	}
 	l.probeFrom = 0
 	l.set(l.limit * shedCutFactor)
-	l.nextEpoch(now)
+	l.settle(now)
 }
 
 func (l *limiter) startProbe(now time.Time) {
 	l.probeFrom = l.limit
-	l.lat.dropBuckets()
 	l.set(l.limit * probeFactor)
-	l.nextEpoch(now)
+	l.settle(now)
 }
 
 // endProbe restores the limit once the lowered one was measured.
 func (l *limiter) endProbe(now time.Time) {
-	if now.Sub(l.lastProbe) < l.cfg.ProbeInterval+l.cfg.BucketDuration {
-		return
-	}
 	l.set(l.probeFrom)
 	l.probeFrom = 0
 	l.lastProbe = now
-	l.nextEpoch(now)
-}
-
-// nextEpoch makes the calls now in flight count no more.
-func (l *limiter) nextEpoch(now time.Time) {
-	l.epoch++
-	l.openWindow(now)
+	l.probeWait = min(2*l.probeWait, l.cfg.ProbeInterval)
+	l.settle(now)
 }
 
 func (l *limiter) set(limit float64) {
@@ -227,7 +240,21 @@
 }
 
 // hint takes the number of slots that the backend server reports. As the report
-// may be wrong, it only sets how far the limit grows fast.
+// may be wrong, it only sets how far the limit grows fast, and moves the first
+// limit towards it.
 func (l *limiter) hint(slots int) {
 	l.slowStart = float64(slots)
+	if l.baseline.empty() {
+		first := min(float64(slots)/2, hintFactor*float64(l.cfg.InitialLimit))
+		l.set(max(l.limit, first))
+	}
+}
+
+// restart forgets the baseline of the backend server before its restart.
+func (l *limiter) restart(now time.Time) {
+	l.baseline = baseline{}
+	l.probeFrom = 0
+	l.probeWait = firstProbe
+	l.cutFrom = 0
+	l.settle(now)
 }
