--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,12 @@
 test:
 	$(GO) test -count=1 ./...
 
+demo: build
+	scripts/demo.sh
+
+bench: build
+	scripts/bench.sh
+
 generate:
 	$(GO) build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=github.com/dogwoodhatch/dogwoodhatch wire/*.proto
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,202 @@
+# Starts and stops a fleet of nodes and stand-in backend servers on the loopback
+# interface. Sourced by demo.sh and bench.sh; everything that is started is
+# stopped by its process id.
+
+run_dir=${RUN_DIR:-demo-run}
+port_base=${PORT_BASE:-7000}
+log_level=${LOG_LEVEL:-info}
+operator_token=demo-operator-token
+store_url=http://127.0.0.1:$((port_base - 1))
+stop_seconds=30
+
+backend_pids=()
+node_pids=()
+other_pids=()
+node_names=()
+contacts=()
+declare -A outside_url local_url admin_url backend_url
+
+fail() {
+  echo "$0: $*" >&2
+  exit 1
+}
+
+# prepare empties the run directory and stops the fleet when the script ends.
+prepare() {
+  mkdir -p "$run_dir"
+  rm -f "$run_dir"/*
+  printf '%s\n' "$operator_token" >"$run_dir/token"
+  trap 'stop_fleet >/dev/null 2>&1' EXIT
+  trap 'exit 130' INT TERM
+}
+
+# start NAME COMMAND... runs a program in the background; its id is in $started.
+start() {
+  local name=$1
+  shift
+  "$@" >"$run_dir/$name.out" 2>&1 &
+  started=$!
+}
+
+# wait_until SECONDS COMMAND... repeats the command until it succeeds.
+wait_until() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    ((SECONDS < end)) || return 1
+    sleep 0.05
+  done
+}
+
+start_store() {
+  start store bin/dogwoodhatch-store --listen "${store_url#http://}"
+  other_pids+=("$started")
+  wait_until 10 curl -fs "$store_url/v1/counts" || fail "the store does not answer; see $run_dir/store.out"
+}
+
+# start_node NAME REGION FAILURE_DOMAIN [SETTINGS] starts a node on the next ports.
+start_node() {
+  local name=$1 region=$2 domain=$3 extra=${4:-}
+  local port=$((port_base + 10 * ${#node_names[@]}))
+  local peer=127.0.0.1:$((port + 3))
+  outside_url[$name]=http://127.0.0.1:$((port + 1))
+  local_url[$name]=http://127.0.0.1:$((port + 2))
+  admin_url[$name]=http://127.0.0.1:$((port + 4))
+  backend_url[$name]=http://127.0.0.1:$((port + 5))
+  node_names+=("$name")
+  ((${#contacts[@]} >= 3)) || contacts+=("$peer")
+  cat >"$run_dir/$name.ini" <<EOF
+[node]
+id = $name
+region = $region
+failure_domain = $domain
+[listen]
+outside = ${outside_url[$name]#http://}
+local = ${local_url[$name]#http://}
+peer = $peer
+gossip = $peer
+admin = ${admin_url[$name]#http://}
+[store]
+url = $store_url
+[contacts]
+addresses = $(IFS=, && echo "${contacts[*]}")
+[admin]
+credentials = operator:$operator_token
+[log]
+path = $run_dir/$name.log
+level = $log_level
+$extra
+EOF
+  start "$name" bin/dogwoodhatch-node --config "$run_dir/$name.ini"
+  node_pids+=("$started")
+}
+
+# start_backend NAME SERVICE ARGUMENTS... starts the backend server beside a node.
+start_backend() {
+  local name=$1 service=$2
+  shift 2
+  start "$name-backend" bin/dogwoodhatch-backend --listen "${backend_url[$name]#http://}" \
+    --service "$service" --node "${local_url[$name]}" --seed "${#backend_pids[@]}" "$@"
+  backend_pids+=("$started")
+}
+
+# operate ARGUMENTS... runs the operators' command line against the first node.
+operate() {
+  bin/dogwoodhatch --node "${admin_url[${node_names[0]}]}" --token-file "$run_dir/token" "$@"
+}
+
+# knows NODE SERVICE tells whether the node gets answers from the service.
+knows() {
+  [[ $(curl -s -m 2 -o /dev/null -w '%{http_code}' -H "Host: $2" -H "X-Request-Id: probe" "${outside_url[$1]}/probe") == 200 ]]
+}
+
+# await_services SERVICE... waits until every node gets answers from each service.
+await_services() {
+  local node waiting=()
+  for node in "${node_names[@]}"; do
+    await_from "$node" "$@" &
+    waiting+=("$!")
+  done
+  for node in "${waiting[@]}"; do
+    wait "$node" || fail "a node gets no answer from a service; see the logs in $run_dir"
+  done
+}
+
+# await_from NODE SERVICE... waits until the node gets answers from each service.
+await_from() {
+  local node=$1 service
+  shift
+  for service in "$@"; do
+    wait_until 20 knows "$node" "$service" || return 1
+  done
+}
+
+# join LIST... prints its arguments separated by commas.
+join() {
+  local IFS=,
+  echo "$*"
+}
+
+# field KEY LINE prints the value of a key in a line of key=value pairs.
+field() {
+  sed -nE "s/(^|.* )$1=([^ ]*).*/\2/p" <<<"$2"
+}
+
+# remaining PID... sets left to those of the processes that this shell still
+# runs. An id that was given to another process meanwhile is not among them.
+remaining() {
+  local pid running=$'\n'$(jobs -pr)$'\n'
+  left=()
+  for pid; do
+    if [[ $running == *$'\n'"$pid"$'\n'* ]]; then left+=("$pid"); fi
+  done
+}
+
+# gone PID... tells whether all of the processes have ended.
+gone() {
+  remaining "$@"
+  ((${#left[@]} == 0))
+}
+
+# stop PID... ends processes gracefully, then by force; fails if one needed force
+# or ended with a fault.
+stop() {
+  local pid status=0
+  gone "$@" || kill -TERM "${left[@]}"
+  wait_until "$stop_seconds" gone "$@" || status=1
+  gone "$@" || kill -KILL "${left[@]}"
+  for pid; do wait "$pid" || status=1; done
+  return "$status"
+}
+
+# stop_fleet stops backend servers, nodes and the rest, in this order.
+stop_fleet() {
+  local status=0
+  stop "${backend_pids[@]}" || status=1
+  stop "${node_pids[@]}" || status=2
+  # The store holds nothing worth a graceful shutdown.
+  stop "${other_pids[@]}" || true
+  backend_pids=() node_pids=() other_pids=() node_names=() contacts=()
+  return "$status"
+}
+
+# accepted COMMAND... runs a change by the operators' command line and prints the
+# revision at which it was accepted.
+accepted() {
+  operate "$@" | sed -nE 's/^accepted: .* is at revision ([0-9]+)$/\1/p'
+}
+
+# in_force KEY REVISION prints for each node that has put the record in force
+# when it did, as seconds since 1970. A profile is in force once it is stored.
+in_force() {
+  local name time
+  for name in "${node_names[@]}"; do
+    time=$(sed -nE "s/^ts=([^ ]*) .*event=record key=${1//\//\\/} revision=$2 applied=(stored|in_force).*/\1/p" "$run_dir/$name.log" | head -n 1)
+    [[ -z $time ]] || date -d "$time" +%s.%N
+  done
+}
+
+# in_force_everywhere KEY REVISION tells whether all nodes have the record in force.
+in_force_everywhere() {
+  [[ $(in_force "$1" "$2" | wc -l) == "${#node_names[@]}" ]]
+}
