--- a/retry/allowance.go
+++ b/retry/allowance.go
@@ -13,9 +13,8 @@
 // allowance of the execution at the target, so by induction the retries of the
 // whole chain never exceed the first allowance.
 type Allowance struct {
-	mu      sync.Mutex
-	left    int
-	settled bool
+	mu   sync.Mutex
+	left int
 }
 
 // NewAllowance returns an allowance of n retries; a negative n counts as 0.
@@ -31,16 +30,14 @@
 	return a.left
 }
 
-// Settle ends the allowance and returns what is left, which goes back with the
-// answer. Retries that a Share still holds are not included and never come
-// back, and later sub-calls get none: an execution that goes on after its
-// answer was sent cannot spend a retry that was given back.
+// Settle takes out what is left and returns it, to go back with the answer. An
+// execution that goes on after its answer was sent cannot spend a retry that was
+// given back: it has only what its open shares held.
 func (a *Allowance) Settle() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n := a.left
 	a.left = 0
-	a.settled = true
 	return n
 }
 
@@ -52,12 +49,3 @@
 	a.left -= n
 	return &Share{from: a, held: n}
 }
-
-// putBack returns n retries unless the allowance was settled. The caller holds
-// the lock.
-func (a *Allowance) putBack(n int) {
-	if a.settled {
-		return
-	}
-	a.left += n
-}
--- /dev/null
+++ b/retry/decide_test.go
@@ -0,0 +1,111 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// ms draws a duration of up to most milliseconds.
+func ms(t *rapid.T, most int, name string) time.Duration {
+	return time.Duration(rapid.IntRange(0, most).Draw(t, name)) * time.Millisecond
+}
+
+var anyResult = rapid.Custom(func(t *rapid.T) call.Result {
+	reasons := []call.Reason{call.ReasonQueueFull, call.ReasonDeadline, call.ReasonLeaving, call.ReasonDuplicate,
+		call.ReasonWithdrawn, call.ReasonCanceled, call.ReasonShed, call.ReasonConnect, call.ReasonConnLost,
+		call.ReasonTruncated, call.ReasonKeyHeld, call.ReasonKeyUnproved, call.ReasonBadRequest}
+	return call.Result{
+		Outcome:    rapid.SampledFrom([]call.Outcome{call.Answered, call.Refused, call.Unknown}).Draw(t, "outcome"),
+		Reason:     rapid.SampledFrom(reasons).Draw(t, "reason"),
+		RetryAfter: ms(t, 400, "retry_after"),
+	}
+})
+
+// finalRefusals holds the refusals that any member would repeat.
+var finalRefusals = map[call.Reason]bool{call.ReasonDuplicate: true, call.ReasonCanceled: true,
+	call.ReasonTruncated: true, call.ReasonKeyHeld: true, call.ReasonKeyUnproved: true, call.ReasonBadRequest: true}
+
+func TestDecideRetriesOnlyWhatMayRunAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		res := anyResult.Draw(t, "result")
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		attempt := rapid.IntRange(1, 70).Draw(t, "attempt")
+		timeLeft, expected := ms(t, 900, "time_left"), ms(t, 300, "expected")
+		allowance := NewAllowance(rapid.IntRange(0, 3).Draw(t, "allowance"))
+		share := allowance.Share()
+		b := NewBudget(BudgetConfig{Burst: float64(rapid.IntRange(0, 2).Draw(t, "burst"))})
+		before, tokens := share.held+allowance.Left(), b.tokens
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+
+		d := Decide(cfg, res, idempotent, attempt, timeLeft, expected, share, b, rng, start)
+
+		spent := before - share.held - allowance.Left()
+		if !d.Retry {
+			if spent != 0 || b.tokens != tokens {
+				t.Fatalf("%s spent %d of the allowance and %v of the budget", d.Rule, spent, tokens-b.tokens)
+			}
+			mayRun := res.Outcome == call.Refused && !finalRefusals[res.Reason] && res.RetryAfter == 0
+			if mayRun && timeLeft > expected+cfg.MaxBackoff && before > 0 && tokens >= 1 {
+				t.Fatalf("%s refused a retry that has all it needs", d.Rule)
+			}
+			return
+		}
+		ranNowhere := res.Outcome == call.Refused && !finalRefusals[res.Reason]
+		if !ranNowhere && (res.Outcome != call.Unknown || !idempotent) {
+			t.Fatalf("retried %v, idempotent %v", res, idempotent)
+		}
+		if spent != 1 || b.tokens != tokens-1 {
+			t.Fatalf("a retry spent %d of the allowance and %v of the budget", spent, tokens-b.tokens)
+		}
+		if d.Delay+expected >= timeLeft {
+			t.Fatalf("delay %v and %v do not fit into %v", d.Delay, expected, timeLeft)
+		}
+		if d.Delay < res.RetryAfter || d.Delay > res.RetryAfter+cfg.MaxBackoff || res.RetryAfter > cfg.MaxRetryAfter {
+			t.Fatalf("delay %v after being asked for %v", d.Delay, res.RetryAfter)
+		}
+	})
+}
+
+func TestBackoffIsSpreadOverItsBound(t *testing.T) {
+	cfg := DefaultConfig()
+	rng := rand.New(rand.NewPCG(1, 2))
+	var tenths [10]int
+	for range 1000 {
+		d := backoff(cfg, call.ReasonQueueFull, 3, rng)
+		tenths[int(10*d/(4*cfg.BaseBackoff))]++
+	}
+	for i, n := range tenths {
+		if n < 50 || n > 150 {
+			t.Errorf("%d of 1000 delays fall into tenth %d", n, i)
+		}
+	}
+}
+
+func TestBudgetBoundsRetriesByItsIncome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := BudgetConfig{Ratio: 0.1, MinPerSecond: 2, Burst: 5}
+		b, now := NewBudget(cfg), start
+		income, retries := cfg.Burst, 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			elapsed := ms(t, 50, "elapsed")
+			now = now.Add(elapsed)
+			income += elapsed.Seconds() * cfg.MinPerSecond
+			if rapid.Bool().Draw(t, "success") {
+				b.Deposit(now)
+				income += cfg.Ratio
+			} else if b.Withdraw(now) {
+				retries++
+			}
+			if retries > income+1e-6 {
+				t.Fatalf("%v retries on an income of %v", retries, income)
+			}
+		}
+	})
+}
--- a/retry/share.go
+++ b/retry/share.go
@@ -81,7 +81,7 @@
 		return
 	}
 	s.closed = true
-	s.from.putBack(s.held)
+	s.from.left += s.held
 	s.held = 0
 	s.travelling = 0
 }
