--- a/membership/table.go
+++ b/membership/table.go
@@ -125,6 +125,21 @@
 	return e.Member, true
 }
 
+// Regions returns the names of the regions with live members, in order.
+func (t *Table) Regions() []string { return sortedKeys(t.index.regions) }
+
+// Size returns the number of live members of a region.
+func (t *Table) Size(region string) int { return len(t.index.regions[region]) }
+
+// Pick returns up to n distinct random live members of a region but this node.
+func (t *Table) Pick(region string, n int) []Member {
+	var members []Member
+	for _, e := range t.index.pick(t.rng, region, n, t.notSelf) {
+		members = append(members, e.Member)
+	}
+	return members
+}
+
 // Events returns what changed since the last call.
 func (t *Table) Events() []Event {
 	events := t.events
