Compact records between nodes, digests that see broken copies, settings check

Cause: a record with its history is ten times what a node needs; two copies of one revision, one of them broken, had the same digest; a watch that has gone silent hid changes for up to 22 s.

--- a/apps/dogwoodhatch/check.go
+++ b/apps/dogwoodhatch/check.go
@@ -4,16 +4,17 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 
-	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
+	"github.com/dogwoodhatch/dogwoodhatch/settings"
 )
 
 type checkCommand struct {
 	env  *environment
 	Args struct {
-		Files []string `positional-arg-name:"FILE" required:"1" description:"profiles; the name of a file without .ini is the profile's"`
+		Files []string `positional-arg-name:"FILE" required:"1" description:"profiles, whose name is that of the file without .ini, or settings of a node, which have a [node] section"`
 	} `positional-args:"yes"`
 }
 
@@ -21,17 +22,13 @@
 func (c *checkCommand) Execute([]string) error {
 	bad := 0
 	for _, file := range c.Args.Files {
-		text, err := os.ReadFile(file)
+		kind, err := checkFile(file)
 		if err != nil {
-			return err
-		}
-		name := strings.TrimSuffix(filepath.Base(file), ".ini")
-		if _, err := profile.Parse(name, text); err != nil {
 			bad++
 			c.print(file, err)
 			continue
 		}
-		fmt.Fprintf(c.env.out, "%s: fine\n", file)
+		fmt.Fprintf(c.env.out, "%s: %s is fine\n", file, kind)
 	}
 	if bad > 0 {
 		return fmt.Errorf("%d of %d files have faults", bad, len(c.Args.Files))
@@ -39,11 +36,30 @@
 	return nil
 }
 
+// settingsSection matches a section that only the settings of a node have.
+var settingsSection = regexp.MustCompile(`(?m)^\s*\[node\]`)
+
+// checkFile says what a file holds, and returns its faults.
+func checkFile(file string) (string, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return "", err
+	}
+	if settingsSection.Match(text) {
+		_, err := settings.Load(file)
+		return "settings", err
+	}
+	name := strings.TrimSuffix(filepath.Base(file), ".ini")
+	_, err = profile.Parse(name, text)
+	return "profile", err
+}
+
 func (c *checkCommand) print(file string, err error) {
-	for _, fault := range profile.FaultsOf(err) {
+	faults := profile.FaultsOf(err)
+	for _, fault := range faults {
 		fmt.Fprintf(c.env.out, "%s: %s\n", file, fault)
 	}
-	if errs.KindOf(err) != errs.Invalid {
+	if len(faults) == 0 {
 		fmt.Fprintf(c.env.out, "%s: %v\n", file, err)
 	}
 }
--- a/apps/dogwoodhatch/main.go
+++ b/apps/dogwoodhatch/main.go
@@ -82,7 +82,7 @@
 		}
 		return added
 	}
-	add(parser.Command, "check", "Check profile files for every fault", &checkCommand{env: env})
+	add(parser.Command, "check", "Check profiles and settings for every fault", &checkCommand{env: env})
 	p := add(parser.Command, "profile", "Read and change profiles", &struct{}{})
 	add(p, "list", "List the profiles", &listCommand{env: env})
 	add(p, "get", "Print a profile", &getCommand{env: env})
--- a/profile/book.go
+++ b/profile/book.go
@@ -1,7 +1,6 @@
 package profile
 
 import (
-	"bytes"
 	"slices"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
@@ -29,16 +28,17 @@
 	return "unset"
 }
 
-// Version is the revision at which a book holds a key.
+// Version names the copy of a record that a book holds.
 type Version struct {
 	Key      string
 	Revision uint64
+	Hash     uint64 // of the value, so that a broken copy is noticed
 }
 
-// Held is a record as it was received, to be passed on to other nodes.
+// Held is a record in the form in which it is passed on to other nodes.
 type Held struct {
 	Version
-	Value []byte // empty after a deletion
+	Value []byte // as Compact returns it; empty after a deletion
 	Bad   bool   // this node cannot read the value
 }
 
@@ -102,7 +102,7 @@
 	if err != nil && repairs {
 		return Stale, nil
 	}
-	b.hold(Held{Version: Version{key, revision}, Value: bytes.Clone(value), Bad: err != nil})
+	b.hold(key, revision, Compact(value), err != nil)
 	if err != nil {
 		return Malformed, err
 	}
@@ -168,7 +168,22 @@
 	}
 }
 
-// Held returns the record of a key as it was received.
+// Wants says whether another node's copy of a record may replace the held one.
+func (b *Book) Wants(v Version) bool {
+	h, known := b.held[v.Key]
+	return !known || v.Revision > h.Revision || (v.Revision == h.Revision && h.Bad && v.Hash != h.Hash)
+}
+
+// Ignored lists the sections and keys of a profile that belong to a newer
+// version of the program and are not in force at this node.
+func (b *Book) Ignored(name string) []string {
+	if p := b.profiles[name]; p != nil {
+		return p.ignored
+	}
+	return nil
+}
+
+// Held returns the record of a key.
 func (b *Book) Held(key string) (Held, bool) {
 	h, ok := b.held[key]
 	return h, ok
--- a/profile/book_test.go
+++ b/profile/book_test.go
@@ -111,6 +111,30 @@
 	})
 }
 
+func TestABrokenCopyIsReplaced(t *testing.T) {
+	r := &Record{Kind: KindProfile, Name: "calm", Body: "[default]\nretries = 1\n", Previous: "x", Owners: []string{"ann"}, History: make([]Change, 9)}
+	value, err := r.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const key = "profiles/calm"
+	whole, broken := NewBook(), NewBook()
+	_, _ = whole.Apply(key, 3, value)
+	_, _ = broken.Apply(key, 3, value[:20])
+	if whole.Sum() == broken.Sum() {
+		t.Fatal("the digest does not tell a broken copy from a whole one")
+	}
+	h, _ := whole.Held(key)
+	bad, _ := broken.Held(key)
+	if whole.Wants(bad.Version) || !broken.Wants(h.Version) {
+		t.Fatal("only the node with the broken copy wants the other")
+	}
+	_, _ = broken.Apply(key, h.Revision, h.Value)
+	if whole.Sum() != broken.Sum() || broken.Wants(h.Version) || len(h.Value) >= len(value)/2 {
+		t.Fatalf("copies differ after the exchange of %d bytes for %d", len(h.Value), len(value))
+	}
+}
+
 func apply(t *testing.T, b *Book, revision uint64, r *Record) Applied {
 	t.Helper()
 	value, err := r.Encode()
--- a/profile/digest.go
+++ b/profile/digest.go
@@ -38,19 +38,21 @@
 }
 
 // hold stores a record and keeps the sum of its bucket.
-func (b *Book) hold(h Held) {
-	sum := &b.sums[bucketOf(h.Key)]
-	if old, known := b.held[h.Key]; known {
+func (b *Book) hold(key string, revision uint64, value []byte, bad bool) {
+	h := Held{Version: Version{key, revision, xxhash.Sum64(value)}, Value: value, Bad: bad}
+	sum := &b.sums[bucketOf(key)]
+	if old, known := b.held[key]; known {
 		*sum ^= hashVersion(old.Version)
 	}
 	*sum ^= hashVersion(h.Version)
-	b.held[h.Key] = h
+	b.held[key] = h
 }
 
 func bucketOf(key string) int { return int(xxhash.Sum64String(key) % NumBuckets) }
 
 func hashVersion(v Version) uint64 {
 	text := binary.LittleEndian.AppendUint64([]byte(v.Key), v.Revision)
+	text = binary.LittleEndian.AppendUint64(text, v.Hash)
 	return xxhash.Sum64(text)
 }
 
--- a/profile/parse_test.go
+++ b/profile/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -203,3 +204,17 @@
 		t.Error("only methods that are idempotent by definition get an idempotent default")
 	}
 }
+
+func BenchmarkMatch(b *testing.B) {
+	text, err := os.ReadFile("../profiles/bluebonnet.ini")
+	if err != nil {
+		b.Fatal(err)
+	}
+	p, err := Parse("bluebonnet", text)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		p.Match("GET", "/quotes/7")
+	}
+}
--- a/profile/record.go
+++ b/profile/record.go
@@ -1,6 +1,7 @@
 package profile
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
 	"time"
@@ -91,6 +92,27 @@
 	return value, nil
 }
 
+// storeOnly are the fields of a record that no node needs.
+var storeOnly = []string{"history", "previous", "owners", "proposed", "deleting"}
+
+// Compact returns a store value in the form that is passed between nodes,
+// without the fields that only a publisher needs. It keeps the fields of a newer
+// version, and a value that is malformed as it is.
+func Compact(value []byte) []byte {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(value, &fields); err != nil {
+		return bytes.Clone(value)
+	}
+	for _, name := range storeOnly {
+		delete(fields, name)
+	}
+	compact, err := json.Marshal(fields) // in the order of the names
+	if err != nil {
+		return bytes.Clone(value)
+	}
+	return compact
+}
+
 // DecodeRecord reads the value of a key. The error is of kind errs.Invalid.
 func DecodeRecord(key string, value []byte) (*Record, error) {
 	const remedy = "publish the record again"
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -28,7 +28,7 @@
 
 	// HistoryLength is the number of changes that a record keeps. A change that
 	// more changes have followed can no longer be resolved. Each takes about
-	// 150 bytes on every node.
+	// 150 bytes in the store.
 	HistoryLength int
 
 	// Admins are the names of the credentials that may change every record.
@@ -38,7 +38,7 @@
 // DefaultConfig returns the configuration for a store that answers within two
 // seconds.
 func DefaultConfig() Config {
-	return Config{Attempts: 3, Backoff: 200 * time.Millisecond, HistoryLength: 32}
+	return Config{Attempts: 3, Backoff: 200 * time.Millisecond, HistoryLength: 16}
 }
 
 // Publisher changes records. It is safe for concurrent use.
@@ -55,7 +55,7 @@
 
 // Request says who changes which record, and what they have seen of it.
 type Request struct {
-	ID     uuid.UUID // identity of the change, unique to it
+	ID     uuid.UUID // identity of the change, for one request only
 	Author string    // name of the credential
 	Name   string    // of the profile or the service
 	Base   uint64    // revision that the author has seen
@@ -144,11 +144,22 @@
 	}
 	s := step{ref: ChangeRef{ID: req.ID, Key: key, Base: req.Base}, author: req.Author}
 	if now.Revision != req.Base || (req.Create && now.live()) {
-		return now, s, conclude(s.ref, now).orConflict(now), nil
+		out := conclude(s.ref, now)
+		if out.Verdict == NotKnown && isPrepared(now.Record, req.ID) {
+			return now, s, out, nil // the request was sent before and is being made
+		}
+		return now, s, out.orConflict(now), nil
 	}
 	return now, s, Outcome{}, nil
 }
 
+// isPrepared says whether a record holds a preparation of a change.
+func isPrepared(r *profile.Record, id uuid.UUID) bool {
+	return r != nil && slices.ContainsFunc(r.History, func(c profile.Change) bool {
+		return c.Prepares != nil && *c.Prepares == id
+	})
+}
+
 // mayChange says whether a credential may change a record.
 func (p *Publisher) mayChange(author string, r *profile.Record) bool {
 	if r == nil || len(r.Owners) == 0 {
@@ -193,7 +204,7 @@
 func (p *Publisher) swap(ctx context.Context, ref ChangeRef, value []byte) (Outcome, error) {
 	maybe := false
 	var err error
-	for attempt := range p.cfg.Attempts {
+	for attempt := range max(p.cfg.Attempts, 1) {
 		if attempt > 0 && !p.pause(ctx) {
 			break
 		}
--- a/store/store.go
+++ b/store/store.go
@@ -53,8 +53,9 @@
 	Revoke(ctx context.Context, lease string) error
 }
 
-// WatchTimeout is the time after which a watch returns by itself.
-const WatchTimeout = 20 * time.Second
+// WatchTimeout is the time after which a watch returns by itself. It bounds how
+// long a watch that has gone silent hides a change.
+const WatchTimeout = 5 * time.Second
 
 // MaxValueBytes is the size of the largest value.
 const MaxValueBytes = 1 << 20
