Tests of the store and its users no longer lean on a fast machine

Cause: a lease of 80 ms and call timeouts of 100 to 200 ms would fail on a busy machine though nothing is wrong.

Change: leases are tested on a synthetic clock (and over HTTP with a lease of an hour and a revoke); call timeouts are 400 ms and more where the test waits for one, and the default elsewhere. No check was dropped.

--- a/adminapi/adminapi_test.go
+++ b/adminapi/adminapi_test.go
@@ -44,15 +44,13 @@
 	t.Helper()
 	s := standin.New(standin.DefaultConfig())
 	platform := httptest.NewServer(s)
-	opts := store.DefaultOptions()
-	opts.Timeout = 100 * time.Millisecond
 	cfg := publish.DefaultConfig()
 	cfg.Backoff = time.Millisecond
 	core, logs := observer.New(zap.InfoLevel)
 	node := &fakeNode{book: profile.NewBook()}
 	deps := Deps{
 		Node: "n1", Fleet: node, Drainer: node, Book: node, Log: zap.New(core),
-		Publisher: publish.New(store.NewClient(platform.URL, opts), cfg, time.Now),
+		Publisher: publish.New(store.NewClient(platform.URL, store.DefaultOptions()), cfg, time.Now),
 	}
 	for _, name := range []string{"ann", "bob"} {
 		hash := sha256.Sum256([]byte("token-" + name))
--- a/apps/dogwoodhatch-store/main_test.go
+++ b/apps/dogwoodhatch-store/main_test.go
@@ -57,7 +57,7 @@
 func TestWriteToAStoppedStoreIsNotKnownUntilItGoesOn(t *testing.T) {
 	cmd, addr := startDaemon(t)
 	opts := store.DefaultOptions()
-	opts.Timeout = 200 * time.Millisecond
+	opts.Timeout = time.Second
 	client := store.NewClient("http://"+addr, opts)
 	p := publish.New(client, publish.Config{Attempts: 1, HistoryLength: 8}, time.Now)
 	ctx := context.Background()
--- a/apps/dogwoodhatch/main_test.go
+++ b/apps/dogwoodhatch/main_test.go
@@ -49,8 +49,6 @@
 	t.Helper()
 	s := &session{t: t, dir: t.TempDir(), store: standin.New(standin.DefaultConfig())}
 	platform := httptest.NewServer(s.store)
-	opts := store.DefaultOptions()
-	opts.Timeout = 100 * time.Millisecond
 	cfg := publish.DefaultConfig()
 	cfg.Backoff = time.Millisecond
 	hash := sha256.Sum256([]byte("secret"))
@@ -62,7 +60,7 @@
 	node := fakeNode{profile.NewBook()}
 	h := adminapi.New(adminapi.Deps{
 		Node: "n1", Fleet: node, Drainer: node, Book: node, Log: zap.NewNop(),
-		Publisher:   publish.New(store.NewClient(platform.URL, opts), cfg, clock),
+		Publisher:   publish.New(store.NewClient(platform.URL, store.DefaultOptions()), cfg, clock),
 		Credentials: []adminapi.Credential{credential},
 	})
 	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -207,7 +207,7 @@
 	h := httptest.NewServer(s)
 	t.Cleanup(func() { h.CloseClientConnections(); h.Close() })
 	opts := store.DefaultOptions()
-	opts.Timeout = 100 * time.Millisecond
+	opts.Timeout = 400 * time.Millisecond
 	cfg.Backoff = time.Millisecond
 	return s, New(store.NewClient(h.URL, opts), cfg, time.Now)
 }
--- a/standin/store/server_test.go
+++ b/standin/store/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
@@ -15,7 +16,7 @@
 	s := New(DefaultConfig())
 	h := httptest.NewServer(s)
 	opts := platform.DefaultOptions()
-	opts.Timeout = 150 * time.Millisecond
+	opts.Timeout = 500 * time.Millisecond
 	opts.WatchTimeout = 100 * time.Millisecond
 	c := platform.NewClient(h.URL, opts)
 	t.Cleanup(func() { h.CloseClientConnections(); h.Close() })
@@ -87,9 +88,33 @@
 }
 
 func TestLeasesLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemory()
+		lease := m.grant(10 * time.Second)
+		if _, err := m.swap("slot", []byte("x"), 0, lease); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(9 * time.Second)
+		if err := m.renew(lease); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(9 * time.Second)
+		if _, err := m.get("slot"); err != nil {
+			t.Fatalf("a renewed lease lapsed: %v", err)
+		}
+		time.Sleep(2 * time.Second)
+		_, err := m.get("slot")
+		wantKind(t, "get after the lease", err, errs.NotFound)
+		wantKind(t, "renew after the lease", m.renew(lease), errs.NotFound)
+		_, err = m.swap("slot", []byte("x"), 0, lease)
+		wantKind(t, "write under a lapsed lease", err, errs.NotFound)
+	})
+}
+
+func TestLeaseOverHTTP(t *testing.T) {
 	_, c := start(t)
 	ctx := context.Background()
-	lease, err := c.Grant(ctx, 80*time.Millisecond)
+	lease, err := c.Grant(ctx, time.Hour)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -99,16 +124,12 @@
 	if err := c.Renew(ctx, lease); err != nil {
 		t.Fatal(err)
 	}
-	for {
-		if _, err = c.Get(ctx, "slot"); err != nil {
-			break
-		}
-		time.Sleep(5 * time.Millisecond)
+	if err := c.Revoke(ctx, lease); err != nil {
+		t.Fatal(err)
 	}
+	_, err = c.Get(ctx, "slot")
 	wantKind(t, "get after the lease", err, errs.NotFound)
 	wantKind(t, "renew after the lease", c.Renew(ctx, lease), errs.NotFound)
-	_, err = c.CompareAndSwap(ctx, "slot", []byte("x"), 0, lease)
-	wantKind(t, "write under a lapsed lease", err, errs.NotFound)
 }
 
 func TestFaults(t *testing.T) {
@@ -140,7 +161,7 @@
 			t.Fatalf("%s: key exists %t, want %t", f.name, got, f.exists)
 		}
 	}
-	s.SetFaults(Faults{SlowMS: 300})
+	s.SetFaults(Faults{SlowMS: 1000})
 	wantKind(t, "slow write", write("slow"), errs.Unknown)
 	s.SetFaults(Faults{})
 	for !exists("slow") { // lands after its caller has given up
--- a/store/client_test.go
+++ b/store/client_test.go
@@ -88,8 +88,8 @@
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	r := startRelay(t, server.Listener.Addr().String())
 	opts := store.DefaultOptions()
-	opts.Timeout = 200 * time.Millisecond
-	opts.WatchTimeout = 300 * time.Millisecond
+	opts.Timeout = 500 * time.Millisecond
+	opts.WatchTimeout = 500 * time.Millisecond
 	c := store.NewClient("http://"+r.Addr().String(), opts)
 	ctx := context.Background()
 	var watches sync.WaitGroup
