Records spread between nodes; only holders of contact slots watch the store

Now a node reads the contact slots once at its start, and the few holders of slots watch; records reach the others by push and digests.

Found on the way, each by the failure tests: - With contacts in the settings nobody ever watched for the first 40 s: the first member was heard of before the first tick, and only nodes without peers read the slots. A node now reads them once at its start in any case, and claims a slot if it found none.

Ruled out: shorter silence before a claim.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -36,7 +36,7 @@
 		f.startBackend(p.member[i], "rates", backendArgs...)
 	}
 	f.publish(testProfile, "rates")
-	p.entry.awaitRecord("services/rates")
+	p.entry.awaitProfile("rates")
 	waitFor(t, "both members", func() bool {
 		p.entry.call("rates", callOptions{path: "/lookup/warmup", id: "warmup"})
 		return p.entry.logged("event=route ", "candidates=2")
@@ -189,7 +189,7 @@
 			}})
 			f.startBackend(target, "rates", "--service-time", "5ms")
 			f.publish(testProfile, "rates")
-			entry.awaitRecord("services/rates")
+			entry.awaitProfile("rates")
 			entry.awaitService("rates")
 			link.Silence(c.direction)
 			r := entry.call("rates", callOptions{method: http.MethodPost, path: "/buy/x", id: "buy"})
@@ -383,8 +383,8 @@
 	f.startBackend(first, "front", "--service-time", "1ms", "--calls", "deep:/lookup/y")
 	f.startBackend(last, "deep", "--service-time", "1ms")
 	f.publish(testProfile, "front", "deep")
-	entry.awaitRecord("services/front")
-	first.awaitRecord("services/deep")
+	entry.awaitProfile("front")
+	first.awaitProfile("deep")
 	entry.awaitService("front")
 	last.backend.signal(syscall.SIGSTOP)
 	r := entry.call("front", callOptions{path: "/lookup/x", id: "chain"})
--- a/e2e/profile_test.go
+++ b/e2e/profile_test.go
@@ -65,10 +65,11 @@
 	return revision
 }
 
-// awaitProfile waits until the node has the record in force.
-func (n *node) awaitRecord(key string) {
+// awaitProfile waits until a published profile is in force for the service at
+// the node.
+func (n *node) awaitProfile(service string) {
 	n.f.t.Helper()
-	waitFor(n.f.t, key+" at "+n.name, func() bool { return n.logged("event=record ", "key="+key, "applied=in_force") })
+	waitFor(n.f.t, "profile of "+service+" at "+n.name, func() bool { return n.logged("event=profile_in_force ", "service="+service+" ") })
 }
 
 func TestProfileParses(t *testing.T) {
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -32,6 +32,7 @@
 	Caller     Caller
 	Executions Executions
 	Backend    Backend
+	Datagrams  Datagrams
 	Exchanges  *Exchanges
 	Drain      *Drain
 
@@ -59,7 +60,8 @@
 
 // Stages: a plug-in may use during setup what earlier stages provide.
 const (
-	StageState     Stage = iota // configuration and membership
+	StageSocket    Stage = iota // control messages
+	StageState                  // membership and configuration
 	StageTransport              // between nodes
 	StageTarget                 // beside the backend server
 	StageCaller                 // beside the caller
--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -15,6 +15,8 @@
 // Policies gives the profiles in force. Safe for concurrent use.
 type Policies interface {
 	Snapshot() *profile.Snapshot
+	// Highest returns the highest store revision that this node has learned.
+	Highest() uint64
 }
 
 // Fleet gives the known members. Safe for concurrent use.
@@ -28,6 +30,9 @@
 	// Announce tells the fleet which service the backend server beside this
 	// node runs; "" withdraws the announcement.
 	Announce(service string)
+	// Join adds first contacts, as gossip addresses. It must be called on the
+	// control goroutine.
+	Join(contacts []string)
 	// Leave tells the fleet that this node is shutting down.
 	Leave()
 }
--- a/node/plugins.go
+++ b/node/plugins.go
@@ -5,6 +5,7 @@
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/backend"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/caller"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/config"
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/datagram"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/entry"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/gossip"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/peer"
--- a/plugin/gossip/gossip.go
+++ b/plugin/gossip/gossip.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
@@ -20,7 +17,6 @@
 	topic           = "membership"
 	tickInterval    = 100 * time.Millisecond
 	exchangeTimeout = 3 * time.Second
-	maxDatagram     = 2048
 )
 
 // gossip is the plug-in. table belongs to the control goroutine.
@@ -29,11 +25,9 @@
 	log      *zap.Logger
 	announce bool // tell others that this node is leaving
 	table    *membership.Table
-	conn     *net.UDPConn
+	contacts []string
 	cancel   context.CancelFunc
 	view     atomic.Pointer[view]
-	joined   bool
-	dropped  metrics.Counter
 }
 
 func newGossip(k *kernel.Kernel, self membership.Member, announce bool) (*gossip, error) {
@@ -42,24 +36,16 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gossip{k: k, log: k.Log, announce: announce, table: table, dropped: metrics.GetOrRegisterCounter("gossip.dropped", k.Metrics)}
+	g := &gossip{k: k, log: k.Log, announce: announce, table: table}
 	g.publish()
 	return g, nil
 }
 
 // Start implements kernel.Plugin.
 func (g *gossip) Start(context.Context) error {
-	addr, err := netip.ParseAddrPort(g.k.Settings.Listen.Gossip)
-	if err != nil {
-		return errs.Wrap(err, errs.Invalid, "correct gossip in section listen", "gossip address")
-	}
-	g.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
-	if err != nil {
-		return errs.Wrap(err, errs.Unavailable, "free the port or change gossip in section listen", "cannot listen for gossip on %s", addr)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	go g.receive(ctx)
+	g.k.Control.Go(func() { g.Join(g.k.Settings.Contacts.Addresses) })
 	go g.tick(ctx)
 	return nil
 }
@@ -70,7 +56,7 @@
 		g.k.Control.Do(func() { g.send(g.table.Stop(time.Now())) })
 	}
 	g.cancel()
-	return g.conn.Close()
+	return nil
 }
 
 func (g *gossip) tick(ctx context.Context) {
@@ -89,10 +75,6 @@
 // onTick runs on the control goroutine.
 func (g *gossip) onTick() {
 	now := time.Now()
-	if !g.joined {
-		g.joined = true
-		g.send(g.table.Join(g.k.Settings.Contacts.Addresses, now))
-	}
 	g.send(g.table.Tick(now))
 	g.exchange(now)
 	g.logEvents()
@@ -138,25 +120,7 @@
 	return reply, err
 }
 
-func (g *gossip) receive(ctx context.Context) {
-	buf := make([]byte, maxDatagram)
-	for {
-		n, from, err := g.conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
-			continue
-		}
-		payload := append([]byte(nil), buf[:n]...)
-		source := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
-		if !g.k.Control.Go(func() { g.handle(source, payload) }) {
-			g.dropped.Inc(1)
-		}
-	}
-}
-
-// handle runs on the control goroutine.
+// handle takes a datagram; it runs on the control goroutine.
 func (g *gossip) handle(from string, payload []byte) {
 	packets, err := g.table.Handle(from, payload, time.Now())
 	if err != nil {
@@ -167,13 +131,7 @@
 
 func (g *gossip) send(packets []membership.Packet) {
 	for _, p := range packets {
-		to, err := netip.ParseAddrPort(p.To)
-		if err != nil {
-			continue
-		}
-		if _, err := g.conn.WriteToUDPAddrPort(p.Payload, to); err != nil {
-			g.log.Debug("gossip_send_failed", zap.String("to", p.To), zap.Error(err))
-		}
+		g.k.Datagrams.Send(kernel.ProtocolMembership, p.To, p.Payload)
 	}
 }
 
--- a/plugin/gossip/setup.go
+++ b/plugin/gossip/setup.go
@@ -23,6 +23,7 @@
 		return nil, err
 	}
 	k.Fleet = g
+	k.Datagrams.Handle(kernel.ProtocolMembership, g.handle)
 	k.Exchanges.Handle(topic, g.serveExchange)
 	return g, nil
 }
--- a/plugin/gossip/view.go
+++ b/plugin/gossip/view.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,6 +50,16 @@
 	})
 }
 
+// Join implements kernel.Fleet.
+func (g *gossip) Join(contacts []string) {
+	for _, c := range contacts {
+		if !slices.Contains(g.contacts, c) {
+			g.contacts = append(g.contacts, c)
+		}
+	}
+	g.send(g.table.Join(g.contacts, time.Now()))
+}
+
 // Leave implements kernel.Fleet.
 func (g *gossip) Leave() {
 	if !g.announce {
--- a/spread/contact.go
+++ b/spread/contact.go
@@ -43,6 +43,10 @@
 	// MaxStoreAge is how long a holder may not have seen the store before
 	// others try to take its slot over.
 	MaxStoreAge time.Duration
+	// FirstClaimSpread spreads the claims of nodes that started together and
+	// found no slot taken. Longer costs fewer claims in vain and delays the
+	// first watch.
+	FirstClaimSpread time.Duration
 	// ReadRetry is the first time between reads of the slots by a node without
 	// peers; it doubles up to ReadRetryMax.
 	ReadRetry    time.Duration
@@ -63,6 +67,7 @@
 		SilenceTime:       40 * time.Second,
 		RankStep:          5 * time.Second,
 		MaxStoreAge:       time.Minute,
+		FirstClaimSpread:  500 * time.Millisecond,
 		ReadRetry:         time.Second,
 		ReadRetryMax:      30 * time.Second,
 		ReadInterval:      time.Minute,
@@ -145,7 +150,9 @@
 	tried    map[string]time.Time // last claim by slot
 	reader   slotReader
 	contacts []Peer
-	left     bool
+	// firstClaim is when to claim a slot after a read found none; zero if not due.
+	firstClaim time.Time
+	left       bool
 }
 
 // holding is a slot that this node holds.
@@ -163,9 +170,9 @@
 
 // slotReader reads the slots while this node needs contacts.
 type slotReader struct {
-	next  time.Time
-	wait  time.Duration
-	empty bool // the last read found no slot
+	next    time.Time
+	wait    time.Duration
+	started bool // the first read was asked for
 }
 
 // NewContacts returns the state of a node that holds no slot.
@@ -265,13 +272,14 @@
 	})
 }
 
-// readSlots reads the slots while this node knows no others, and as a holder
-// now and then.
+// readSlots reads the slots once after the start, while this node knows no
+// others, and as a holder now and then.
 func (c *Contacts) readSlots(now time.Time, view View) []Action {
 	r := &c.reader
-	if now.Before(r.next) || (view.Peers > 0 && c.held == nil) {
+	if now.Before(r.next) || (r.started && view.Peers > 0 && c.held == nil) {
 		return nil
 	}
+	r.started = true
 	wait := c.cfg.ReadInterval
 	if view.Peers == 0 {
 		wait = r.wait
@@ -283,11 +291,13 @@
 
 // SlotsRead takes in the answer to ReadSlots. Slots that cannot be parsed are
 // skipped.
-func (c *Contacts) SlotsRead(slots []Slot, err error) {
+func (c *Contacts) SlotsRead(slots []Slot, err error, now time.Time) {
 	if err != nil {
 		return
 	}
-	c.reader.empty = len(slots) == 0
+	if len(slots) == 0 && c.held == nil {
+		c.firstClaim = now.Add(time.Duration(c.rng.Int64N(int64(c.cfg.FirstClaimSpread))))
+	}
 	c.contacts = nil
 	for _, slot := range slots {
 		peer, err := ParseContact(slot.Value)
@@ -299,8 +309,11 @@
 
 // dueSlot returns the slot to claim now, or "".
 func (c *Contacts) dueSlot(now time.Time, view View) string {
+	if slot := c.firstSlot(now); slot != "" {
+		return slot
+	}
 	if view.Peers == 0 {
-		return c.firstSlot(now)
+		return ""
 	}
 	for _, slot := range c.slots {
 		silence := now.Sub(c.silentSince(slot, now))
@@ -317,14 +330,17 @@
 	return ""
 }
 
-// firstSlot returns the slot to claim by a node that found no slot taken and
-// knows no other node, as when the fleet starts for the first time.
+// firstSlot returns the slot to claim by a node that found no slot taken when
+// it started, as when the fleet starts for the first time, or "".
 func (c *Contacts) firstSlot(now time.Time) string {
+	if c.firstClaim.IsZero() || now.Before(c.firstClaim) {
+		return ""
+	}
+	c.firstClaim = time.Time{}
 	slot := c.slots[0]
-	if !c.reader.empty || now.Sub(c.tried[slot]) < c.cfg.RankStep {
+	if c.beats.bySlot[slot] != nil {
 		return ""
 	}
-	c.reader.empty = false
 	return slot
 }
 
--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -281,7 +281,7 @@
 			for key, slot := range st.slots {
 				slots = append(slots, Slot{key, slot.value})
 			}
-			n.contacts.SlotsRead(slots, failed)
+			n.contacts.SlotsRead(slots, failed, s.now)
 		case ClaimSlot:
 			st.claims++
 			s.act(n, n.contacts.Claimed(s.claim(a, failed), s.now))
