--- a/kernel/drain.go
+++ b/kernel/drain.go
@@ -12,9 +12,17 @@
 	leaving  bool
 	inFlight int
 	idle     chan struct{} // closed when leaving and nothing is in flight
+	request  sync.Once
+	asked    chan struct{} // closed when an operator asked for the shutdown
 }
 
-func newDrain() *Drain { return &Drain{idle: make(chan struct{})} }
+func newDrain() *Drain { return &Drain{idle: make(chan struct{}), asked: make(chan struct{})} }
+
+// Request asks the node to shut down gracefully. A second call has no effect.
+func (d *Drain) Request() { d.request.Do(func() { close(d.asked) }) }
+
+// Requested is closed once Request was called.
+func (d *Drain) Requested() <-chan struct{} { return d.asked }
 
 // Enter counts a request in. It reports false when the node is leaving; the
 // request must then be refused and Exit not be called.
--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -17,6 +17,8 @@
 	Snapshot() *profile.Snapshot
 	// Highest returns the highest store revision that this node has learned.
 	Highest() uint64
+	// Learn takes a record that the store accepted and spreads it.
+	Learn(key string, revision uint64, value []byte)
 }
 
 // Fleet gives the known members. Safe for concurrent use.
--- a/node/node.go
+++ b/node/node.go
@@ -100,7 +100,11 @@
 	}
 	n.log.Info("node_started", zap.String("node", n.kernel.NodeID), zap.String("region", n.settings.Node.Region),
 		zap.String("failure_domain", n.settings.Node.FailureDomain), zap.String("peer", n.settings.Listen.Peer))
-	<-n.exited
+	select {
+	case <-n.kernel.Drain.Requested():
+		n.Exit()
+	case <-n.exited:
+	}
 	return nil
 }
 
--- a/node/plugins.go
+++ b/node/plugins.go
@@ -2,6 +2,7 @@
 
 // The plug-ins of every node register themselves.
 import (
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/admin"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/backend"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/caller"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/config"
--- /dev/null
+++ b/plugin/admin/admin.go
@@ -0,0 +1,103 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/adminapi"
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/publish"
+	"github.com/dogwoodhatch/dogwoodhatch/store"
+)
+
+const readHeaderTimeout = 5 * time.Second
+
+// admin is the plug-in.
+type admin struct {
+	k   *kernel.Kernel
+	srv *http.Server
+}
+
+func newAdmin(k *kernel.Kernel) *admin {
+	a := &admin{k: k}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", a.api())
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collector{k.Metrics})
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /{$}", a.serveStatus)
+	a.srv = &http.Server{
+		Handler: mux, ReadHeaderTimeout: readHeaderTimeout,
+		ErrorLog: zap.NewStdLog(k.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	return a
+}
+
+// api returns the administration interface.
+func (a *admin) api() http.Handler {
+	deps := adminapi.Deps{
+		Node: a.k.NodeID, Fleet: fleet{a.k}, Drainer: drainer{a.k}, Book: a.k.Policies, Log: a.k.Log,
+		Publisher: noStore{},
+	}
+	if url := a.k.Settings.Store.URL; url != "" {
+		opts := store.DefaultOptions()
+		opts.Timeout = a.k.Settings.Store.Timeout
+		cfg := publish.DefaultConfig()
+		cfg.Admins = a.k.Settings.Admin.Admins
+		deps.Publisher = spreading{
+			Publisher: publish.New(store.NewClient(url, opts), cfg, time.Now),
+			policies:  a.k.Policies,
+		}
+	}
+	for name, token := range a.k.Settings.Admin.Credentials {
+		deps.Credentials = append(deps.Credentials, adminapi.Credential{Name: name, Hash: sha256.Sum256([]byte(token))})
+	}
+	return adminapi.New(deps)
+}
+
+// Start implements kernel.Plugin.
+func (a *admin) Start(context.Context) error {
+	ln, err := net.Listen("tcp", a.k.Settings.Listen.Admin)
+	if err != nil {
+		return errs.Wrap(err, errs.Unavailable, "free the port or change admin in section listen", "cannot listen for operators on %s", a.k.Settings.Listen.Admin)
+	}
+	go a.srv.Serve(ln)
+	return nil
+}
+
+// Stop implements kernel.Plugin.
+func (a *admin) Stop(ctx context.Context) error { return a.srv.Shutdown(ctx) }
+
+// fleet implements adminapi.Fleet.
+type fleet struct{ k *kernel.Kernel }
+
+// Members implements adminapi.Fleet.
+func (f fleet) Members() []adminapi.Member {
+	var out []adminapi.Member
+	for _, m := range f.k.Fleet.All() {
+		out = append(out, adminapi.Member{
+			Node: m.ID, Service: m.Service, Addr: m.Addr, Region: m.Region, FailureDomain: m.Domain, State: m.State.String(),
+		})
+	}
+	return out
+}
+
+// drainer implements adminapi.Drainer.
+type drainer struct{ k *kernel.Kernel }
+
+// Drain implements adminapi.Drainer.
+func (d drainer) Drain() error {
+	d.k.Drain.Request()
+	return nil
+}
+
+// Draining implements adminapi.Drainer.
+func (d drainer) Draining() bool { return d.k.Drain.Leaving() }
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -73,6 +73,11 @@
 // Highest implements kernel.Policies.
 func (c *config) Highest() uint64 { return c.highest.Load() }
 
+// Learn implements kernel.Policies.
+func (c *config) Learn(key string, revision uint64, value []byte) {
+	c.k.Control.Go(func() { c.put([]store.Entry{{Key: key, Revision: revision, Value: value}}) })
+}
+
 // Start implements kernel.Plugin.
 func (c *config) Start(context.Context) error {
 	go c.tick()
--- a/settings/field.go
+++ b/settings/field.go
@@ -53,6 +53,7 @@
 		{"store", "timeout", "2s", false, duration(&s.Store.Timeout, 10*time.Millisecond, time.Minute)},
 		{"contacts", "addresses", "", false, addresses(&s.Contacts.Addresses)},
 		{"admin", "credentials", "", false, credentials(&s.Admin.Credentials)},
+		{"admin", "admins", "", false, list(&s.Admin.Admins)},
 		{"backend", "shed_header", "X-Shed", false, text(&s.Backend.ShedHeader)},
 		{"backend", "announce_ttl", "3s", false, duration(&s.Backend.AnnounceTTL, 100*time.Millisecond, 5*time.Minute)},
 		{"backend", "drain_timeout", "30s", false, duration(&s.Backend.DrainTimeout, time.Second, 10*time.Minute)},
@@ -165,6 +166,13 @@
 	}
 }
 
+func list(dst *[]string) func(string) error {
+	return func(v string) error {
+		*dst = splitList(v)
+		return nil
+	}
+}
+
 func splitList(v string) []string {
 	var out []string
 	for _, part := range strings.Split(v, ",") {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,6 +58,7 @@
 // Admin configures the administration API.
 type Admin struct {
 	Credentials map[string]string // operator name to bearer token
+	Admins      []string          // operators who may change every profile
 }
 
 // Backend describes the backend server beside the node.
