--- a/routing/pick.go
+++ b/routing/pick.go
@@ -17,9 +17,10 @@
 // Choice is the member that an attempt is sent to, and why.
 type Choice struct {
 	Member        Member
-	Rule          string  // one of the Rule constants
-	Score         float64 // expected response time in seconds, lower is better
-	RunnerUp      string  // node of the other candidate of the random pair, if any
+	Rule          string        // one of the Rule constants
+	Score         float64       // expected response time in seconds with lost time, lower is better
+	Expected      time.Duration // expected response time if the call is served
+	RunnerUp      string        // node of the other candidate of the random pair, if any
 	RunnerUpScore float64
 	Candidates    int // members that the pair was drawn from
 }
@@ -41,15 +42,6 @@
 	RetryAfter time.Duration
 }
 
-// pool sorts the members that may be chosen.
-type pool struct {
-	near, far   []*state // healthy
-	nearEjected []*state
-	farEjected  []*state
-	nearSuspect []*state
-	farSuspect  []*state
-}
-
 // Pick chooses the member for an attempt. The reasons of a refusal are no_member,
 // throttled and deadline; the request then ran nowhere.
 func (r *Router) Pick(q Query, now time.Time) (Choice, Refusal) {
@@ -68,46 +60,10 @@
 	return c, refusal
 }
 
-// pool sorts the members that the query does not rule out.
-func (r *Router) pool(q Query, now time.Time) pool {
-	var p pool
-	for _, s := range r.live {
-		if s.leaving(&r.cfg, now) || slices.Contains(q.Exclude, s.Node) {
-			continue
-		}
-		s.settle(&r.cfg, now)
-		p.add(s, s.near(&r.cfg))
-	}
-	return p
-}
-
-// add puts a member into its list.
-func (p *pool) add(s *state, near bool) {
-	list := &p.far
-	switch {
-	case s.ejected && near:
-		list = &p.nearEjected
-	case s.ejected:
-		list = &p.farEjected
-	case s.Suspect && near:
-		list = &p.nearSuspect
-	case s.Suspect:
-		list = &p.farSuspect
-	case near:
-		list = &p.near
-	}
-	*list = append(*list, s)
-}
-
-// empty reports whether no member may be chosen.
-func (p *pool) empty() bool {
-	return len(p.near)+len(p.far)+len(p.nearEjected)+len(p.farEjected)+len(p.nearSuspect)+len(p.farSuspect) == 0
-}
-
 // choose tries the lists in order of preference.
 func (r *Router) choose(p *pool, q Query, now time.Time) (Choice, Refusal) {
 	if s := r.dueProbe(p.nearEjected, len(p.near) > 0, q, now); s != nil {
-		return r.choice(s, nil, RuleProbe, 1, now)
+		return r.probe(s, now)
 	}
 	if len(p.near) > 0 {
 		return r.chooseNear(p, q, now)
@@ -147,7 +103,7 @@
 // budget pays for it.
 func (r *Router) trySpill(p *pool, q Query, now time.Time) (Choice, bool) {
 	if s := r.dueProbe(p.farEjected, true, q, now); s != nil && r.takeSpill(q, now) {
-		c, _ := r.choice(s, nil, RuleProbe, 1, now)
+		c, _ := r.probe(s, now)
 		return c, true
 	}
 	serving := filter(p.far, func(s *state) bool { return spillServes(&r.cfg, s, q, now) })
@@ -174,7 +130,7 @@
 		return r.refuse(call.ReasonThrottled)
 	}
 	if s := r.dueProbe(p.farEjected, true, q, now); s != nil {
-		return r.choice(s, nil, RuleProbe, 1, now)
+		return r.probe(s, now)
 	}
 	admitting := filter(p.far, func(s *state) bool { return s.admits(&r.cfg, q.Priority, now) })
 	if len(admitting) == 0 {
@@ -209,7 +165,7 @@
 	}
 	var due *state
 	for _, s := range ejected {
-		if !s.probeDue(now) || s.Suspect {
+		if !s.probeDue(&r.cfg, now) || s.Suspect {
 			continue
 		}
 		if due == nil || s.ejectedUntil.Before(due.ejectedUntil) {
@@ -219,6 +175,12 @@
 	return due
 }
 
+// probe chooses an ejected member.
+func (r *Router) probe(s *state, now time.Time) (Choice, Refusal) {
+	s.probeSent = now
+	return r.choice(s, nil, RuleProbe, 1, now)
+}
+
 // best draws two members of the list by weight and chooses the one with the
 // lower score, after Mitzenmacher, The Power of Two Choices in Randomized Load
 // Balancing, 2001. Members that cannot answer before the deadline are left out.
@@ -240,40 +202,6 @@
 	return r.choice(a, b, rule, len(list), now)
 }
 
-// drawTwo draws two different members, each with a chance by its weight.
-func (r *Router) drawTwo(list []*state, now time.Time) (*state, *state) {
-	weights := make([]float64, len(list))
-	for i, s := range list {
-		weights[i] = max(s.weight(&r.cfg, now), leastWeight)
-	}
-	first := r.draw(weights)
-	weights[first] = 0
-	return list[first], list[r.draw(weights)]
-}
-
-// leastWeight keeps every member in the draw.
-const leastWeight = 1e-6
-
-// draw returns an index with a chance by its weight.
-func (r *Router) draw(weights []float64) int {
-	sum := 0.0
-	for _, w := range weights {
-		sum += w
-	}
-	x := r.rng.Float64() * sum
-	last := 0
-	for i, w := range weights {
-		if w == 0 {
-			continue
-		}
-		last = i
-		if x -= w; x < 0 {
-			break
-		}
-	}
-	return last
-}
-
 // inTime reports whether the member may answer before the deadline, judged by
 // the way there and the wait that it told. The service time is left out, because
 // it is a mean over classes that differ.
@@ -290,7 +218,8 @@
 
 // choice returns a Choice of s over runnerUp, which may be nil.
 func (r *Router) choice(s, runnerUp *state, rule string, candidates int, now time.Time) (Choice, Refusal) {
-	c := Choice{Member: s.Member, Rule: rule, Score: s.score(&r.cfg, now), Candidates: candidates}
+	c := Choice{Member: s.Member, Rule: rule, Score: s.score(&r.cfg, now), Expected: s.expected(&r.cfg, now), Candidates: candidates}
+	s.probed = true
 	if runnerUp != nil {
 		c.RunnerUp = runnerUp.Node
 		c.RunnerUpScore = runnerUp.score(&r.cfg, now)
@@ -303,14 +232,3 @@
 func (r *Router) refuse(reason call.Reason) (Choice, Refusal) {
 	return Choice{}, Refusal{Reason: reason, RetryAfter: spread(r.cfg.RetryAfter, r.rng)}
 }
-
-// filter returns the members that keep reports true for.
-func filter(list []*state, keep func(*state) bool) []*state {
-	var kept []*state
-	for _, s := range list {
-		if keep(s) {
-			kept = append(kept, s)
-		}
-	}
-	return kept
-}
--- a/routing/router.go
+++ b/routing/router.go
@@ -84,7 +84,8 @@
 	if s == nil {
 		return
 	}
-	s.finish(&r.cfg, res, r.outlier(s, now), r.rng, now)
+	ejectable := judge(res) != verdictError || r.outlier(s, now)
+	s.finish(&r.cfg, res, ejectable, r.rng, now)
 }
 
 // Record counts the end of an attempt of that priority for the throttle, which
