--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -114,7 +114,7 @@
 		if ans.Outcome == call.Unknown {
 			r.unknown = ans
 		}
-		if !r.retry(ctx, ans) {
+		if !r.retry(ctx, ans, choice.Expected) {
 			return r.final(ans)
 		}
 	}
@@ -157,11 +157,11 @@
 }
 
 // retry decides about another attempt and waits the backoff.
-func (r *request) retry(ctx context.Context, ans *kernel.Answer) bool {
+func (r *request) retry(ctx context.Context, ans *kernel.Answer, expected time.Duration) bool {
 	if r.c.naive {
 		return r.attempts <= naiveRetries && ctx.Err() == nil
 	}
-	d := r.s.decide(ans.Result, r.Chain.Idempotent, r.attempts, time.Until(r.Chain.Deadline), r.share)
+	d := r.s.decide(ans.Result, r.Chain.Idempotent, r.attempts, time.Until(r.Chain.Deadline), expected, r.share)
 	r.c.log.Info("retry", zap.String("service", r.Service), zap.String("chain", r.Chain.ID.String()), zap.Bool("retry", d.Retry),
 		zap.String("rule", d.Rule), zap.Duration("delay", d.Delay), zap.Stringer("outcome", ans.Outcome), zap.String("reason", string(ans.Reason)))
 	if !d.Retry {
@@ -189,7 +189,7 @@
 	r.prove(choice.Member.Addr, id, ans)
 	ans.Latency = time.Since(began)
 	r.settle(ans)
-	r.s.finish(choice.Member.Node, ans.Result, r.c.naive)
+	r.s.finish(choice.Member.Node, r.Chain.Priority, ans.Result, r.c.naive)
 	if ans.Body == nil {
 		cancel()
 		return ans
--- a/plugin/caller/service.go
+++ b/plugin/caller/service.go
@@ -14,6 +14,11 @@
 	"github.com/dogwoodhatch/dogwoodhatch/settings"
 )
 
+// remoteCallsPerSecond bounds the calls of this node to one service that has no
+// member in the region. It lies above the rate of a node, so that it holds back
+// only a runaway.
+const remoteCallsPerSecond = 2000
+
 // service is the routing state towards one service. mu is held for
 // microseconds and never across I/O.
 type service struct {
@@ -33,6 +38,8 @@
 	cfg := routing.DefaultConfig()
 	cfg.Region = k.Settings.Node.Region
 	cfg.Domain = k.Settings.Node.FailureDomain
+	cfg.RemotePerSecond = remoteCallsPerSecond
+	cfg.RemoteBurst = remoteCallsPerSecond
 	if k.Settings.Baseline.Off(settings.MechanismThrottle) {
 		cfg.ThrottleFactor = math.MaxFloat64
 	}
@@ -89,7 +96,7 @@
 }
 
 // finish tells the router how an attempt ended.
-func (s *service) finish(node string, res call.Result, naive bool) {
+func (s *service) finish(node string, p call.Priority, res call.Result, naive bool) {
 	if naive {
 		return
 	}
@@ -97,16 +104,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.router.Finish(node, res, now)
+	s.router.Record(p, res, now)
 	if res.Outcome == call.Answered {
 		s.budget.Deposit(now)
 	}
 }
 
 // decide asks whether to send the request again.
-func (s *service) decide(res call.Result, idempotent bool, attempt int, left time.Duration, share *retry.Share) retry.Decision {
+func (s *service) decide(res call.Result, idempotent bool, attempt int, left, expected time.Duration, share *retry.Share) retry.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return retry.Decide(retry.DefaultConfig(), res, idempotent, attempt, left, res.Pressure.ServiceTime, share, s.budget, s.rng, time.Now())
+	return retry.Decide(retry.DefaultConfig(), res, idempotent, attempt, left, expected, share, s.budget, s.rng, time.Now())
 }
 
 // memberIDs returns the nodes that announced the service.
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -183,7 +183,7 @@
 		if _, _, ok := profile.SplitKey(e.Key); !ok {
 			continue
 		}
-		r := spread.Record{Key: e.Key, Revision: e.Revision, Value: e.Value, Deleted: len(e.Value) == 0}
+		r := spread.Record{Key: e.Key, Revision: e.Revision, Value: pack(e.Value), Deleted: len(e.Value) == 0}
 		if _, err := c.spreader.Put(r, time.Now()); err != nil {
 			c.log.Warn("record_rejected", zap.String("key", e.Key), zap.Error(err))
 		}
@@ -198,7 +198,7 @@
 		return
 	}
 	for _, r := range changes {
-		applied, err := c.book.Apply(r.Key, r.Revision, r.Value)
+		applied, err := c.apply(r)
 		c.log.Info("record", zap.String("key", r.Key), zap.Uint64("revision", r.Revision), zap.Stringer("applied", applied), zap.Error(err))
 	}
 	c.highest.Store(c.book.Highest())
@@ -206,6 +206,14 @@
 	c.logInForce(before, c.book.Snapshot())
 }
 
+func (c *config) apply(r spread.Record) (profile.Applied, error) {
+	value, err := unpack(r.Value)
+	if err != nil {
+		return profile.Malformed, err
+	}
+	return c.book.Apply(r.Key, r.Revision, value)
+}
+
 // logInForce logs each service for which another profile is in force than before.
 func (c *config) logInForce(before, after *profile.Snapshot) {
 	for _, b := range after.Bindings() {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -187,11 +187,13 @@
 }
 
 # in_force KEY REVISION prints for each node that has put the record in force
-# when it did, as seconds since 1970. A profile is in force once it is stored.
+# when it did, as seconds since 1970. A profile is in force once it is stored; a
+# binding, once a profile is in force for its service.
 in_force() {
-  local name time
+  local name time event="record key=${1//\//\\/} revision=$2 applied=stored"
+  [[ $1 != services/* ]] || event="profile_in_force service=${1#services/} "
   for name in "${node_names[@]}"; do
-    time=$(sed -nE "s/^ts=([^ ]*) .*event=record key=${1//\//\\/} revision=$2 applied=(stored|in_force).*/\1/p" "$run_dir/$name.log" | head -n 1)
+    time=$(sed -nE "s/^ts=([^ ]*) .*event=$event.*/\1/p" "$run_dir/$name.log" | head -n 1)
     [[ -z $time ]] || date -d "$time" +%s.%N
   done
 }
--- a/spread/config.go
+++ b/spread/config.go
@@ -52,7 +52,7 @@
 		DigestInterval:     time.Second,
 		CrossDigests:       1,
 		SettleTime:         time.Second,
-		InlineBytes:        900,
+		InlineBytes:        1200,
 		MaxPacketBytes:     1400,
 		PageBytes:          4000,
 		BytesPerSecond:     1500,
