Admission: settle by count, judge two cuts, deeper probes

Cause: the wait after a change of the limit was computed from service times that a slowdown had inflated; one cut of an overshooting limit on a server that thrashes was taken for a slow sub-call, and the baseline stayed too high.

Change: samples count again after twice the calls in flight have ended; the judgement needs the limit halved; probes go to half the limit; the first calls after a start are passed over, as the short ones end first.

--- a/admission/baseline.go
+++ b/admission/baseline.go
@@ -11,6 +11,9 @@
 	// on both sides of a comparison.
 	minCoverage = 0.5
 
+	// minWeight is the least sum of weights, in samples, of a comparison.
+	minWeight = 12
+
 	// confidence is the number of standard errors by which a ratio is lowered.
 	confidence = 1.5
 )
@@ -50,7 +53,7 @@
 // difference, so that a class with few samples on either side counts little. The
 // relative variance is taken to be the same in all classes.
 func (s *classSums) ratio(base *classSums) (float64, bool) {
-	var measured, expected, squares, scatter float64
+	var measured, expected, squares, scatter, weights float64
 	covered, freedom := 0, 0
 	for i := range min(len(s.classes), len(base.classes)) {
 		a, b := s.classes[i], base.classes[i]
@@ -58,6 +61,7 @@
 			continue
 		}
 		weight := 1 / (1/float64(a.count) + 1/float64(b.count))
+		weights += weight
 		measured += weight * a.mean()
 		expected += weight * b.mean()
 		pooled := (a.seconds + b.seconds) / float64(a.count+b.count)
@@ -66,7 +70,7 @@
 		freedom += a.count + b.count - 2
 		covered += a.count
 	}
-	if expected <= 0 || freedom <= 0 || float64(covered) < minCoverage*float64(s.count) {
+	if weights < minWeight || expected <= 0 || float64(covered) < minCoverage*float64(s.count) {
 		return 1, false
 	}
 	margin := confidence * math.Sqrt(squares*scatter/float64(freedom))
--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -7,13 +7,14 @@
 	growthFactor    = 0.25 // growth per window above it, at the baseline latency
 	cutFactor       = 0.6  // when latency is too high
 	shedCutFactor   = 0.8  // when the backend server sheds
-	probeFactor     = 0.65
+	probeFactor     = 0.5
 	hintFactor      = 4   // of the initial limit, as far as a report may raise it
 	inUseFraction   = 0.9 // of the limit in flight, for it to count as in use
 
-	// A cut must lower the latency ratio to responseFactor of its value before,
-	// or the latency has another cause.
-	responseFactor = 0.8
+	// Cuts to responseFraction of the limit must lower the latency ratio to
+	// responseFactor of its value before, or the latency has another cause.
+	responseFraction = 0.5
+	responseFactor   = 0.7
 
 	// firstProbe is the wait for the first probe. The first baseline is often
 	// measured with calls waiting in the backend server.
@@ -22,10 +23,10 @@
 	// judgeWindows is how many times more samples a window has after a cut.
 	judgeWindows = 2
 
-	// settleFactor, in typical service times, is how long after a change of the
-	// limit the calls that end were started under the old one or are the short
-	// ones among those started since.
-	settleFactor = 1.5
+	// settleFactor is how many times the calls in flight at a change of the
+	// limit must have ended before samples count. The first ones were started
+	// under the old limit or are the short ones among those started since.
+	settleFactor = 2
 
 	// A window with few samples closes after slowWindows times its duration.
 	slowWindowSamples = 5
@@ -50,11 +51,13 @@
 	lat       *latencies
 	limit     float64
 	slowStart float64 // threshold up to which the limit grows fast
+	hinted    int     // last report of the backend server
 
 	baseline    baseline
 	window      classSums
 	windowStart time.Time
-	settled     time.Time // samples count from here on
+	unsettled   int // calls that have to end before samples count
+	inFlight    int
 	inUse       bool
 	ratio       float64 // latency to baseline in the last window
 
@@ -75,6 +78,7 @@
 		windowStart: now,
 		lastProbe:   now,
 		probeWait:   firstProbe,
+		unsettled:   cfg.WindowSamples,
 		ratio:       1,
 	}
 }
@@ -84,6 +88,7 @@
 
 // observe notes how much of the limit is in use.
 func (l *limiter) observe(inFlight, queued, limit int) {
+	l.inFlight = inFlight
 	if queued > 0 || float64(inFlight) >= inUseFraction*float64(limit) {
 		l.inUse = true
 	}
@@ -91,8 +96,9 @@
 
 // sample records the end of a call.
 func (l *limiter) sample(c *classLatency, s Sample, now time.Time) {
+	settled := l.countEnd(now)
 	if s.Shed {
-		l.shed(now)
+		l.shed(settled, now)
 		return
 	}
 	seconds := s.Latency.Seconds()
@@ -105,7 +111,7 @@
 	} else {
 		l.lat.complete(c, seconds)
 	}
-	if now.Before(l.settled) {
+	if !settled {
 		return
 	}
 	l.window.add(c.index, seconds)
@@ -119,6 +125,18 @@
 	}
 }
 
+// countEnd counts the end of a call and reports whether samples count.
+func (l *limiter) countEnd(now time.Time) bool {
+	if l.unsettled == 0 {
+		return true
+	}
+	l.unsettled--
+	if l.unsettled == 0 {
+		l.openWindow(now)
+	}
+	return false
+}
+
 // windowComplete reports whether the window has seen enough.
 func (l *limiter) windowComplete(now time.Time) bool {
 	least := max(l.cfg.WindowDuration, l.lat.mean())
@@ -155,21 +173,19 @@
 }
 
 // settle makes samples count again only when they reflect the present limit.
-func (l *limiter) settle(now time.Time) {
-	wait := time.Duration(settleFactor * l.lat.all.typical() * float64(time.Second))
-	l.settled = now.Add(wait)
+func (l *limiter) settle() {
+	l.unsettled = max(settleFactor*l.inFlight, l.cfg.MinLimit)
 	l.baseline.dropOpen()
-	l.openWindow(l.settled)
 }
 
 // calm handles a window whose latency is near the baseline.
 func (l *limiter) calm(inUse bool, now time.Time) {
-	l.cutFrom = 0
+	l.endCuts()
 	if !inUse || l.baseline.empty() {
 		return
 	}
-	if l.limit >= l.slowStart && now.Sub(l.lastProbe) >= l.probeWait {
-		l.startProbe(now)
+	if l.probeDue(now) {
+		l.startProbe()
 		return
 	}
 	if l.ratio < l.cfg.GrowTolerance {
@@ -179,6 +195,14 @@
 	l.slowStart = min(l.slowStart, l.limit)
 }
 
+// endCuts lets the limit return fast to where the first cut had brought it.
+func (l *limiter) endCuts() {
+	if l.cutFrom > 0 {
+		l.slowStart = max(l.limit, cutFactor*l.cutFrom)
+	}
+	l.cutFrom = 0
+}
+
 func (l *limiter) grow() {
 	headroom := (l.cfg.GrowTolerance - l.ratio) / (l.cfg.GrowTolerance - 1)
 	next := l.limit * (1 + growthFactor*min(headroom, 1))
@@ -193,37 +217,46 @@
 	if l.cutFrom == 0 {
 		l.cutFrom = l.limit
 		l.cutRatio = l.ratio
-	} else if l.ratio > responseFactor*l.cutRatio {
+	} else if l.limit <= responseFraction*l.cutFrom && l.ratio > responseFactor*l.cutRatio {
 		l.baseline.rebase(window)
+		l.probeWait = firstProbe // checks the judgement
 		l.set(l.cutFrom)
 		l.cutFrom = 0
-		l.settle(now)
+		l.settle()
 		return
 	}
 	l.set(l.limit * cutFactor)
 	l.slowStart = l.limit
 	l.lastProbe = now
-	l.settle(now)
+	l.settle()
 }
 
 // shed handles a refusal by the backend server.
-func (l *limiter) shed(now time.Time) {
+func (l *limiter) shed(settled bool, now time.Time) {
 	if now.Sub(l.lastShed) > l.cfg.BucketDuration {
 		l.slowStart = l.limit * shedCutFactor
 	}
 	l.lastShed = now
-	if now.Before(l.settled) {
+	if !settled {
 		return
 	}
 	l.probeFrom = 0
 	l.set(l.limit * shedCutFactor)
-	l.settle(now)
+	l.settle()
+}
+
+// probeDue reports whether to measure the latency at a lower limit.
+func (l *limiter) probeDue(now time.Time) bool {
+	if l.limit < l.slowStart || l.limit*probeFactor < float64(l.cfg.MinLimit) {
+		return false
+	}
+	return now.Sub(l.lastProbe) >= l.probeWait
 }
 
-func (l *limiter) startProbe(now time.Time) {
+func (l *limiter) startProbe() {
 	l.probeFrom = l.limit
 	l.set(l.limit * probeFactor)
-	l.settle(now)
+	l.settle()
 }
 
 // endProbe restores the limit once the lowered one was measured.
@@ -232,7 +265,7 @@
 	l.probeFrom = 0
 	l.lastProbe = now
 	l.probeWait = min(2*l.probeWait, l.cfg.ProbeInterval)
-	l.settle(now)
+	l.settle()
 }
 
 func (l *limiter) set(limit float64) {
@@ -243,6 +276,10 @@
 // may be wrong, it only sets how far the limit grows fast, and moves the first
 // limit towards it.
 func (l *limiter) hint(slots int) {
+	if slots == l.hinted {
+		return
+	}
+	l.hinted = slots
 	l.slowStart = float64(slots)
 	if l.baseline.empty() {
 		first := min(float64(slots)/2, hintFactor*float64(l.cfg.InitialLimit))
@@ -256,5 +293,6 @@
 	l.probeFrom = 0
 	l.probeWait = firstProbe
 	l.cutFrom = 0
-	l.settle(now)
+	l.baseline.dropOpen()
+	l.unsettled = max(settleFactor*l.inFlight, l.cfg.WindowSamples)
 }
