Admission: regain the limit fast after cuts that a slowdown caused

Cause: after cuts in a slowdown the limit grew from where the last cut had left it, although the first cut alone had already been below any harm.

Change: the fast growth reaches to the limit after the first cut.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -180,7 +180,10 @@
 
 // calm handles a window whose latency is near the baseline.
 func (l *limiter) calm(inUse bool, now time.Time) {
-	l.endCuts()
+	if l.cutFrom > 0 {
+		l.endCuts()
+		return
+	}
 	if !inUse || l.baseline.empty() {
 		return
 	}
@@ -197,9 +200,7 @@
 
 // endCuts lets the limit return fast to where the first cut had brought it.
 func (l *limiter) endCuts() {
-	if l.cutFrom > 0 {
-		l.slowStart = max(l.limit, cutFactor*l.cutFrom)
-	}
+	l.slowStart = max(l.limit, cutFactor*l.cutFrom)
 	l.cutFrom = 0
 }
 
