--- a/load/client.go
+++ b/load/client.go
@@ -34,6 +34,7 @@
 	id      string
 	verdict Verdict
 	cut     bool
+	ending  string // outcome and reason told by a node
 }
 
 // final returns the verdict on the last attempt.
@@ -75,12 +76,24 @@
 		time.Sleep(c.pause)
 	}
 	s.latency = time.Since(start)
+	s.lateOverall()
+}
+
+// lateOverall marks a whole answer as late that came in time for the attempt
+// that got it, but not for the client, who has waited through all attempts.
+func (s *submission) lateOverall() {
+	last := &s.attempts[len(s.attempts)-1]
+	if last.verdict == Whole && s.latency > s.class.Timeout {
+		last.verdict = Late
+	}
 }
 
 func (c *client) send(ctx context.Context, s *submission, n int) attempt {
 	a := attempt{id: fmt.Sprintf("%s.%d", s.id, n)}
 	start := time.Now()
-	a.verdict, a.cut = judge(a.id, s.class.Direct, c.exchange(ctx, s, a.id, n))
+	r := c.exchange(ctx, s, a.id, n)
+	a.verdict, a.cut = judge(a.id, s.class.Direct, r)
+	a.ending = r.ending()
 	if a.verdict == Whole && time.Since(start) > s.class.Timeout {
 		a.verdict = Late
 	}
--- a/load/judge.go
+++ b/load/judge.go
@@ -40,6 +40,16 @@
 	expired bool  // the client gave up waiting
 }
 
+// ending returns the outcome and the reason that a node told, as
+// "refused/queue_full", or "" for an answer.
+func (r reply) ending() string {
+	outcome, reason := r.header.Get(outcomeHeader), r.header.Get(reasonHeader)
+	if reason == "" {
+		return ""
+	}
+	return outcome + "/" + reason
+}
+
 // judge returns the verdict on the reply to the request of the given id,
 // without regard to time, and whether the connection cut it off.
 func judge(id string, direct bool, r reply) (v Verdict, cut bool) {
--- a/load/load.go
+++ b/load/load.go
@@ -1,7 +1,9 @@
 package load
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +15,7 @@
 	"github.com/google/uuid"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/standin/backend"
 )
 
 // controlTimeout bounds one change of a backend server's behaviour.
@@ -136,24 +139,38 @@
 	l.setSlow(slow, 1)
 }
 
+// setSlow sets the factor at all the servers. One that does not answer is
+// reported and left alone.
 func (l *Load) setSlow(urls []string, factor float64) {
 	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 	defer cancel()
 	for _, url := range urls {
-		body := strings.NewReader(fmt.Sprintf(`{"extra_slow":%g}`, factor))
-		req, err := http.NewRequestWithContext(ctx, http.MethodPut, url+"/control", body)
-		if err == nil {
-			var resp *http.Response
-			if resp, err = http.DefaultClient.Do(req); err == nil {
-				resp.Body.Close()
-			}
-		}
-		if err != nil {
-			fmt.Fprintf(os.Stderr, "slow_factor=%g backend=%s error=%q\n", factor, url, err)
+		if err := putSlow(ctx, url, factor); err != nil {
+			fmt.Fprintf(os.Stderr, "event=slow_failed backend=%s factor=%g error=%q\n", url, factor, err)
 		}
 	}
 }
 
+func putSlow(ctx context.Context, url string, factor float64) error {
+	body, err := json.Marshal(backend.Control{ExtraSlow: &factor})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, url+"/control", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("the backend server answered %s", resp.Status)
+	}
+	return nil
+}
+
 func (l *Load) audit(report *Report) error {
 	backends := splitLists(l.opts.Backends)
 	if len(backends) == 0 {
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -171,6 +174,19 @@
 	}
 }
 
+func TestWholeAnswerToALateResendIsNoGoodput(t *testing.T) {
+	r := runAgainst(t, func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.Header.Get(backend.RequestIDHeader), ".0") {
+			refuse(w)
+			return
+		}
+		whole(w, r)
+	}, func(o *Options) { o.ClientRetries, o.ClientPause = 1, 2100*time.Millisecond })
+	if got := r.All.Verdicts[Late]; got != r.All.Offered {
+		t.Fatalf("%d late: %s", got, r.Line())
+	}
+}
+
 func TestClientsComeBackWithTheSameKey(t *testing.T) {
 	var mu sync.Mutex
 	seen := make(map[string]int)
@@ -191,3 +207,24 @@
 		t.Fatalf("%d keys: %s", len(seen), r.Line())
 	}
 }
+
+func TestServersAreSlowedDuringTheCauseOnly(t *testing.T) {
+	var mu sync.Mutex
+	var told []string
+	runAgainst(t, func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/control" {
+			whole(w, r)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		mu.Lock()
+		defer mu.Unlock()
+		told = append(told, string(body))
+	}, func(o *Options) {
+		o.Slow, o.SlowFactor = o.Targets, 20
+		o.CauseFrom, o.CauseTo = 20*time.Millisecond, 40*time.Millisecond
+	})
+	if want := []string{`{"extra_slow":20}`, `{"extra_slow":1}`}; !slices.Equal(told, want) {
+		t.Fatalf("told %v", told)
+	}
+}
--- a/load/parts_test.go
+++ b/load/parts_test.go
@@ -108,7 +108,7 @@
 			class:    mix.Classes[i%2],
 			arrival:  time.Duration(i) * time.Second,
 			latency:  time.Duration(i) * time.Millisecond,
-			attempts: []attempt{{verdict: Verdict(i % 7 % numVerdicts)}},
+			attempts: []attempt{{verdict: Verdict(i % 7 % numVerdicts), ending: []string{"", "refused/deadline", "unknown/key_held"}[i%3]}},
 		})
 	}
 	r := newReport(40*time.Second, mix, submissions)
--- a/load/report.go
+++ b/load/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,6 +26,9 @@
 	// Latency of whole answers in microseconds, from the arrival of the
 	// submission, so that earlier attempts count.
 	Latency *hdrhistogram.Histogram
+	// Endings counts attempts by what a node told of them, as
+	// "refused/queue_full".
+	Endings map[string]int
 	series  series
 }
 
@@ -31,6 +36,7 @@
 	return &ClassReport{
 		Name:    name,
 		Latency: hdrhistogram.New(1, maxLatency.Microseconds(), significantDigits),
+		Endings: make(map[string]int),
 	}
 }
 
@@ -41,6 +47,9 @@
 		if a.cut {
 			c.Cut++
 		}
+		if a.ending != "" {
+			c.Endings[a.ending]++
+		}
 	}
 	verdict := s.final()
 	c.Verdicts[verdict]++
@@ -108,9 +117,21 @@
 	if r.causeTo > 0 {
 		line += fmt.Sprintf(" recovery_s=%s", r.recoveryText(a))
 	}
+	if len(a.Endings) > 0 {
+		line += " endings=" + a.endingsText()
+	}
 	return line
 }
 
+// endingsText lists the endings by name, as "refused/deadline:3,unknown/key_held:1".
+func (c *ClassReport) endingsText() string {
+	var parts []string
+	for _, name := range slices.Sorted(maps.Keys(c.Endings)) {
+		parts = append(parts, fmt.Sprintf("%s:%d", name, c.Endings[name]))
+	}
+	return strings.Join(parts, ",")
+}
+
 // recoveryText returns the recovery time in seconds, or "none" for a run that
 // ended before it recovered.
 func (r *Report) recoveryText(c *ClassReport) string {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -11,7 +11,7 @@
 drain_after=16
 drained=tx-north-quotedesk
 
-# start_services SUFFIX REGION SERVICE ARGUMENTS... starts a node and a backend
+# start_service DOMAIN REGION SERVICE ARGUMENTS... starts a node and its backend
 # server; services alternate between the failure domains of a region.
 start_service() {
   local domain=$1 region=$2 service=$3
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -177,6 +177,7 @@
   # The store holds nothing worth a graceful shutdown.
   stop "${other_pids[@]}" || true
   backend_pids=() node_pids=() other_pids=() node_names=() contacts=()
+  outside_url=() local_url=() admin_url=() backend_url=()
   return "$status"
 }
 
