Spread: profiles of some kilobytes within seconds, and faults of the store

A value of 4,000 bytes needed one pull of each node from the only peer noted for it, which had then used up its budget.

--- a/spread/config.go
+++ b/spread/config.go
@@ -32,7 +32,8 @@
 	PageBytes int
 	// BytesPerSecond limits what this node sends, headers included.
 	BytesPerSecond int
-	// BurstBytes is the most that is sent at once above BytesPerSecond.
+	// BurstBytes is the most that is sent at once above BytesPerSecond. It lets
+	// a new profile of some kilobytes reach all within seconds.
 	BurstBytes int
 	// PullBytesPerSecond limits the replies asked for.
 	PullBytesPerSecond int
@@ -52,11 +53,11 @@
 		DigestInterval:     time.Second,
 		CrossDigests:       1,
 		SettleTime:         time.Second,
-		InlineBytes:        900,
+		InlineBytes:        500,
 		MaxPacketBytes:     1400,
 		PageBytes:          4000,
 		BytesPerSecond:     1500,
-		BurstBytes:         4000,
+		BurstBytes:         8000,
 		PullBytesPerSecond: 2500,
 		SyncTimeout:        5 * time.Second,
 		SyncDomains:        3,
--- a/spread/contact_test.go
+++ b/spread/contact_test.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -66,3 +67,85 @@
 		t.Errorf("%.2f claims/s", perSecond)
 	}
 }
+
+func TestLostClaimAnswersAndSilentHolder(t *testing.T) {
+	s := newContactSim(t, 24)
+	s.store.loseAnswers = true
+	dead := s.holders("r0-d0")[0]
+	dead.up = false
+	s.run(2 * time.Minute)
+	s.store.loseAnswers = false
+	t.Logf("slot taken %v after claims are answered again", s.until(time.Minute, s.allSlotsHeld))
+
+	// A holder that no longer reaches the store is followed by one that does.
+	cut := s.holders("r1-d0")[0]
+	cut.storeCut = true
+	took := s.until(3*time.Minute, func() bool {
+		return cut.contacts.Holding() == "" && len(s.holders("r1-d0")) == 2
+	})
+	t.Logf("holder without the store followed after %v", took)
+	if cut.watching {
+		t.Error("holder without the store still watches")
+	}
+}
+
+func TestLeavingHolderIsFollowedAtOnce(t *testing.T) {
+	s := newContactSim(t, 96)
+	s.run(time.Minute)
+	n := s.holders("r2-d1")[0]
+	s.act(n, n.contacts.Leave(s.now))
+	s.run(time.Second)
+	n.up = false
+	took := s.until(time.Minute, s.allSlotsHeld)
+	t.Logf("slot of a leaving holder taken %v later", took)
+	if took > DefaultContactConfig().SilenceTime/2 {
+		t.Errorf("took %v", took)
+	}
+}
+
+// TestAnswersAfterTheLeaseLapsed delivers answers of the store to a process that
+// was paused for longer than the lease.
+func TestAnswersAfterTheLeaseLapsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cfg := DefaultContactConfig()
+	newOne := func() *Contacts {
+		rng := rand.New(rand.NewPCG(1, 1))
+		self := Peer{ID: "a", Addr: "10.0.0.1:1", GossipAddr: "10.0.0.1:2", Domain: "d0"}
+		return NewContacts(cfg, self, NewHeartbeats("d0", rng), rng, now)
+	}
+	claim := Claim{Slot: "contact/d0/0", OK: true, Lease: "l", Revision: 1, SentAt: now}
+	late := newOne()
+	actions := late.Claimed(claim, now.Add(cfg.LeaseTTL))
+	if len(actions) != 1 || actions[0].Kind != ReleaseSlot || late.Holding() != "" {
+		t.Errorf("late claim: %v, holds %q", actions, late.Holding())
+	}
+	holder := newOne()
+	holder.Claimed(claim, now.Add(time.Second))
+	renewal := Renewal{Slot: claim.Slot, Lease: "l", OK: true, SentAt: now.Add(time.Second)}
+	actions = holder.Renewed(renewal, now.Add(cfg.LeaseTTL+2*time.Second))
+	if len(actions) != 1 || actions[0].Kind != StopWatch || holder.Holding() != "" {
+		t.Errorf("late renewal: %v, holds %q", actions, holder.Holding())
+	}
+}
+
+func TestFirstContactsFromTheSlots(t *testing.T) {
+	s := newContactSim(t, 24)
+	n := s.start(0, 3)
+	actions := n.contacts.Tick(s.now, View{Peers: 0, Domain: func() []string { return nil }})
+	s.act(n, actions)
+	if got := len(n.contacts.Known()); got != 12 {
+		t.Errorf("%d contacts from %d slots", got, len(s.store.slots))
+	}
+	bad := []Slot{{"contact/r0-d0/0", []byte("garbage")}}
+	n.contacts.SlotsRead(bad, nil)
+	if len(n.contacts.Known()) != 0 {
+		t.Error("malformed slot became a contact")
+	}
+	for range 5 {
+		for _, a := range n.contacts.Tick(s.now.Add(time.Minute), View{}) {
+			if a.Kind == ClaimSlot {
+				t.Errorf("claims %s although slots are taken", a.Slot)
+			}
+		}
+	}
+}
--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -6,13 +6,17 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 const (
 	simStep  = 20 * time.Millisecond
 	simTicks = 5 // steps between two ticks of a node
+
+	windowSteps    = 500   // steps of a window of 10 s
+	maxWindowBytes = 24000 // that a node may send in a window
 )
 
 // simNode is a spreader and its contacts with their place in the network.
@@ -23,6 +27,8 @@
 	up, paused bool
 	watching   bool
 	storeCut   bool // the store cannot be reached from here
+	sent       uint64
+	revisions  map[string]uint64 // highest that Changes told
 }
 
 type simMessage struct {
@@ -33,7 +39,7 @@
 // sim drives many nodes through a network with loss, delay, duplicates and
 // cuts, with a small stand-in of the store.
 type sim struct {
-	t       testing.TB
+	t       rapid.TB
 	rng     *rand.Rand
 	now     time.Time
 	step    int
@@ -46,9 +52,11 @@
 	due     map[int][]simMessage
 	cfg     Config
 	store   simStore
+
+	largeValues bool // exceed the byte budget by themselves
 }
 
-func newSim(t testing.TB, seed uint64, cfg Config, size, regions int) *sim {
+func newSim(t rapid.TB, seed uint64, cfg Config, size, regions int) *sim {
 	s := &sim{
 		t: t, cfg: cfg, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
 		cut:    func(a, b *simNode) bool { return false },
@@ -72,7 +80,7 @@
 	}
 	rng := rand.New(rand.NewPCG(s.rng.Uint64(), 2))
 	spreader := New(s.cfg, peer, rng, s.now)
-	n := &simNode{Spreader: spreader, peer: peer, up: true}
+	n := &simNode{Spreader: spreader, peer: peer, up: true, revisions: map[string]uint64{}}
 	n.contacts = NewContacts(DefaultContactConfig(), peer, spreader.Heartbeats(), rng, s.now)
 	s.nodes = append(s.nodes, n)
 	s.regions[region] = append(s.regions[region], n)
@@ -167,8 +175,33 @@
 		for i, n := range s.nodes {
 			if n.up && !n.paused && (i+s.step)%simTicks == 0 {
 				s.tick(n)
+				s.checkRevisions(n)
 			}
 		}
+		if s.step%windowSteps == 0 {
+			s.checkBytes()
+		}
+	}
+}
+
+// checkBytes fails the test if a node sent too much in the last window.
+func (s *sim) checkBytes() {
+	for _, n := range s.nodes {
+		total := n.Stats().BytesSent
+		if total-n.sent > maxWindowBytes && !s.largeValues {
+			s.t.Fatalf("%s sent %d bytes in 10 s", n.peer.ID, total-n.sent)
+		}
+		n.sent = total
+	}
+}
+
+// checkRevisions fails the test if a revision fell.
+func (s *sim) checkRevisions(n *simNode) {
+	for _, r := range n.Changes() {
+		if r.Revision <= n.revisions[r.Key] {
+			s.t.Fatalf("%s: %s went from revision %d to %d", n.peer.ID, r.Key, n.revisions[r.Key], r.Revision)
+		}
+		n.revisions[r.Key] = r.Revision
 	}
 }
 
--- a/spread/spreader.go
+++ b/spread/spreader.go
@@ -98,13 +98,22 @@
 
 // Get returns the record of a key; deleted ones have Deleted set.
 func (s *Spreader) Get(key string) (Record, bool) {
-	r, ok := s.set.byKey[key]
-	return r, ok
+	r := s.set.byKey[key]
+	if r == nil {
+		return Record{}, false
+	}
+	return r.Record, true
 }
 
 // Records returns all records, deleted ones included, in the order of their
 // revisions.
-func (s *Spreader) Records() []Record { return s.set.after(0) }
+func (s *Spreader) Records() []Record {
+	var list []Record
+	for _, r := range s.set.after(0) {
+		list = append(list, r.Record)
+	}
+	return list
+}
 
 // Changes returns the records that changed since the last call, in the order in
 // which they came.
@@ -122,17 +131,18 @@
 		s.stats.Malformed++
 		return false, err
 	}
-	if !s.apply(r, now) {
+	if !s.apply(r, nil, now) {
 		return false, nil
 	}
 	s.own[r.Key] = struct{}{}
 	return true, nil
 }
 
-// apply takes over a valid record if it is newer.
-func (s *Spreader) apply(r Record, now time.Time) bool {
+// apply takes over a valid record if it is newer. m is the message that brought
+// it, or nil.
+func (s *Spreader) apply(r Record, m *wire.ConfigRecord, now time.Time) bool {
 	s.floor = max(s.floor, r.Revision)
-	if !s.set.put(r) {
+	if !s.set.put(r, m) {
 		return false
 	}
 	s.changedAt = now
@@ -146,8 +156,8 @@
 func (s *Spreader) applyAll(from string, records []*wire.ConfigRecord, now time.Time) error {
 	var first error
 	for _, m := range records {
-		r := fromWire(m)
-		if err := r.Validate(); err != nil {
+		r, err := fromWire(m)
+		if err != nil {
 			s.stats.Malformed++
 			if first == nil {
 				first = err
@@ -158,7 +168,7 @@
 			s.heardOf(from, &r)
 			continue
 		}
-		s.apply(r, now)
+		s.apply(r, m, now)
 	}
 	return first
 }
@@ -166,7 +176,7 @@
 // heardOf notes that a peer holds a revision of a key.
 func (s *Spreader) heardOf(from string, r *Record) {
 	s.floor = max(s.floor, r.Revision)
-	if r.Revision > s.set.byKey[r.Key].Revision {
+	if r.Revision > s.set.revision(r.Key) {
 		s.sync.want(r.Key, r.Revision, from)
 	}
 }
@@ -190,7 +200,7 @@
 	}
 	home := peers.Pick(s.self.Region, s.cfg.Fanout)
 	share := s.cfg.CrossSends / float64(max(peers.Size(s.self.Region), 1))
-	var all, cross []Record
+	var all, cross []*stored
 	targets := s.crossTargets(peers)
 	for _, key := range sortedKeys(s.pending) {
 		all = append(all, s.set.byKey[key])
@@ -240,7 +250,7 @@
 
 // pushTo returns the messages that carry records to one peer. What exceeds the
 // byte budget is left to the digests.
-func (s *Spreader) pushTo(p Peer, records []Record, now time.Time) []Message {
+func (s *Spreader) pushTo(p Peer, records []*stored, now time.Time) []Message {
 	var messages []Message
 	for len(records) > 0 {
 		if s.out.room(now) <= 0 {
@@ -261,10 +271,10 @@
 }
 
 // fill adds records as long as they fit and returns how many; at least one.
-func (s *Spreader) fill(msg *wire.SpreadPacket, records []Record) int {
+func (s *Spreader) fill(msg *wire.SpreadPacket, records []*stored) int {
 	room := s.cfg.MaxPacketBytes - proto.Size(msg)
 	for i := range records {
-		m := records[i].toWire()
+		m := records[i].wire
 		if len(m.Value) > s.cfg.InlineBytes {
 			m = records[i].advert()
 		}
--- a/spread/sync.go
+++ b/spread/sync.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -19,10 +20,10 @@
 
 // syncer pulls records from peers over streams, one sync at a time.
 type syncer struct {
-	wants      map[string]want // by key
-	suspects   string          // id of a peer whose digest differs
-	mismatches int             // digests in a row that differed
-	offers     []Record        // records that offerTo lacks
+	wants      map[string]*want // by key
+	suspects   string           // id of a peer whose digest differs
+	mismatches int              // digests in a row that differed
+	offers     []*stored        // records that offerTo lacks
 	offerTo    string
 	compared   map[string]bool // failure domains compared since the start
 	enough     bool            // the start is over
@@ -31,12 +32,15 @@
 	flight     syncFlight
 }
 
-// want is a record that a peer holds in a newer revision.
+// want is a record that peers hold in a newer revision.
 type want struct {
 	revision uint64
-	from     string // id of a peer that holds it, "" for any
+	from     []string // ids of peers that hold it; none for any peer
 }
 
+// maxSources limits the peers noted for one want.
+const maxSources = 4
+
 // syncFlight is the sync in progress.
 type syncFlight struct {
 	peer    Peer
@@ -45,7 +49,7 @@
 }
 
 func (y *syncer) init(cfg Config, now time.Time) {
-	y.wants = map[string]want{}
+	y.wants = map[string]*want{}
 	y.compared = map[string]bool{}
 	y.pull = newBudget(cfg.PullBytesPerSecond, cfg.BurstBytes, now)
 	y.next = now
@@ -53,14 +57,26 @@
 
 // want notes that a peer holds a newer revision.
 func (y *syncer) want(key string, revision uint64, from string) {
-	if y.wants[key].revision < revision {
-		y.wants[key] = want{revision, from}
+	w := y.wants[key]
+	if w == nil || w.revision < revision {
+		w = &want{revision: revision}
+		y.wants[key] = w
+	}
+	if w.revision == revision && from != "" && len(w.from) < maxSources && !slices.Contains(w.from, from) {
+		w.from = append(w.from, from)
+	}
+}
+
+// forget removes a peer from the sources of all wants.
+func (y *syncer) forget(peer string) {
+	for _, w := range y.wants {
+		w.from = slices.DeleteFunc(w.from, func(id string) bool { return id == peer })
 	}
 }
 
 // got forgets a want that r fulfils.
 func (y *syncer) got(r Record) {
-	if w, ok := y.wants[r.Key]; ok && r.Revision >= w.revision {
+	if w := y.wants[r.Key]; w != nil && r.Revision >= w.revision {
 		delete(y.wants, r.Key)
 	}
 }
@@ -71,7 +87,7 @@
 // Want asks for keys ahead of all others, for a starting node that needs them.
 func (s *Spreader) Want(keys ...string) {
 	for _, key := range keys {
-		if _, held := s.set.byKey[key]; !held {
+		if s.set.byKey[key] == nil {
 			s.sync.want(key, 1, "")
 		}
 	}
@@ -133,12 +149,16 @@
 	return Peer{}, false, false
 }
 
-// wantPeer returns a peer that holds a wanted record.
+// wantPeer returns a random peer that holds a wanted record.
 func (s *Spreader) wantPeer(peers Peers) (Peer, bool) {
 	for _, key := range sortedKeys(s.sync.wants) {
 		w := s.sync.wants[key]
-		if peer, ok := peers.Lookup(w.from); ok {
-			return peer, true
+		for len(w.from) > 0 {
+			id := w.from[s.rng.IntN(len(w.from))]
+			if peer, ok := peers.Lookup(id); ok {
+				return peer, true
+			}
+			s.sync.forget(id)
 		}
 		if peer, ok := s.anyPeer(peers); ok {
 			return peer, true
@@ -185,16 +205,7 @@
 		if len(req.Keys) == maxWants {
 			return
 		}
-		if w := s.sync.wants[key]; w.from == peer || w.from == "" {
-			req.Keys = append(req.Keys, key)
-		}
-	}
-	if len(req.Keys) > 0 {
-		return
-	}
-	// The peers that told of the records are gone; this one may hold them too.
-	for _, key := range sortedKeys(s.sync.wants) {
-		if len(req.Keys) < maxWants {
+		if w := s.sync.wants[key]; len(w.from) == 0 || slices.Contains(w.from, peer) {
 			req.Keys = append(req.Keys, key)
 		}
 	}
@@ -204,7 +215,7 @@
 func (s *Spreader) addOffers(req *wire.SyncRequest) {
 	y := &s.sync
 	for len(y.offers) > 0 && (len(req.Records) == 0 || proto.Size(req) < s.cfg.PageBytes) {
-		req.Records = append(req.Records, y.offers[0].toWire())
+		req.Records = append(req.Records, y.offers[0].wire)
 		y.offers = y.offers[1:]
 	}
 }
@@ -227,7 +238,7 @@
 	y.pull.room(now)
 	y.pull.spend(len(payload) + exchangeOverhead)
 	if reply.Busy {
-		y.next = now.Add(jitter(s.rng, retryInterval))
+		s.busy(flight, now)
 		return nil
 	}
 	y.next = now.Add(syncInterval)
@@ -236,11 +247,28 @@
 	if flight.buckets {
 		s.afterBuckets(flight.peer, reply)
 	} else {
-		s.dropUnmet(peerID)
+		s.dropUnmet()
 	}
 	return err
 }
 
+// busy turns to other peers that hold what is wanted, or waits if there are
+// none.
+func (s *Spreader) busy(flight syncFlight, now time.Time) {
+	y := &s.sync
+	others := false
+	for _, w := range y.wants {
+		if len(w.from) > 1 {
+			w.from = slices.DeleteFunc(w.from, func(id string) bool { return id == flight.peer.ID })
+			others = true
+		}
+	}
+	y.next = now.Add(syncInterval)
+	if !others {
+		y.next = now.Add(jitter(s.rng, retryInterval))
+	}
+}
+
 // afterBuckets notes what the peer lacks in the differing buckets.
 func (s *Spreader) afterBuckets(peer Peer, reply *wire.SyncReply) {
 	y := &s.sync
@@ -266,17 +294,17 @@
 // wantsFrom reports whether a peer holds newer records.
 func (s *Spreader) wantsFrom(peer string) bool {
 	for _, w := range s.sync.wants {
-		if w.from == peer {
+		if slices.Contains(w.from, peer) {
 			return true
 		}
 	}
 	return false
 }
 
-// dropUnmet forgets wants of keys that no node was known to hold.
-func (s *Spreader) dropUnmet(string) {
+// dropUnmet forgets wants of keys that no node is known to hold.
+func (s *Spreader) dropUnmet() {
 	for key, w := range s.sync.wants {
-		if w.from == "" {
+		if len(w.from) == 0 {
 			delete(s.sync.wants, key)
 		}
 	}
@@ -292,11 +320,7 @@
 	y.flight = syncFlight{}
 	y.offers = nil
 	y.next = now.Add(jitter(s.rng, retryInterval))
-	for key, w := range y.wants {
-		if w.from == peerID {
-			delete(y.wants, key)
-		}
-	}
+	y.forget(peerID)
 }
 
 // Sync answers the request of a peer. Malformed input is counted and gives an
@@ -316,7 +340,7 @@
 	case len(req.Buckets) == numBuckets:
 		s.listBuckets(req, reply)
 	default:
-		s.addWanted(req, reply)
+		s.addWanted(req, reply, min(s.cfg.PageBytes, s.out.room(now)))
 	}
 	b := encode(reply)
 	s.spend(len(b)+exchangeOverhead, now)
@@ -345,19 +369,18 @@
 	}
 }
 
-// addWanted adds the wanted records, up to the size of a page.
-func (s *Spreader) addWanted(req *wire.SyncRequest, reply *wire.SyncReply) {
+// addWanted adds the wanted records, up to room bytes but at least one.
+func (s *Spreader) addWanted(req *wire.SyncRequest, reply *wire.SyncReply, room int) {
 	size := 0
 	for _, key := range req.Keys {
-		r, held := s.set.byKey[key]
-		if !held {
+		r := s.set.byKey[key]
+		if r == nil {
 			continue
 		}
-		m := r.toWire()
-		size += fieldSize(m)
-		if size > s.cfg.PageBytes && len(reply.Records) > 0 {
+		size += fieldSize(r.wire)
+		if size > room && len(reply.Records) > 0 {
 			return
 		}
-		reply.Records = append(reply.Records, m)
+		reply.Records = append(reply.Records, r.wire)
 	}
 }
