Contacts: a woken node claims no slot for heartbeats it slept through

A node paused for two minutes claimed a slot as soon as it woke: the age of the store that a heartbeat tells grew during the pause and was taken for a holder without the store. Such a holder lets its lease lapse and falls silent, so the rule for it could never apply to a live one and is gone.

--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -64,3 +64,21 @@
 	b.up = false
 	s.until(2*time.Second, func() bool { return len(a.All()) == 1 })
 }
+
+func TestInterestsAreFetchedFirst(t *testing.T) {
+	cfg := DefaultConfig()
+	s := newSim(t, 20, cfg)
+	s.fleet(200, 3)
+	s.until(3*time.Minute, s.agreed)
+	s.run(time.Minute)
+	wanted := len(s.nodes[0].Members("svc2"))
+	s.cfg.Interests = []string{"svc2"}
+	n := s.start("r0", "r0-d0", "svc0", s.nodes[1].self.GossipAddr)
+	useful := s.until(time.Minute, func() bool { return len(n.Members("svc2")) == wanted })
+	share := n.index.live
+	whole := s.until(time.Minute, func() bool { return n.index.live == 201 })
+	t.Logf("%d members of the wanted service known %v after the start, with %d members in all; all 201 %v later", wanted, useful, share, whole)
+	if share > 100 {
+		t.Errorf("%d members were fetched before the wanted ones were all known", share)
+	}
+}
--- a/spread/contact.go
+++ b/spread/contact.go
@@ -40,9 +40,6 @@
 	// RankStep is the time between the claims of two nodes. Shorter fills a slot
 	// faster and costs more claims in vain.
 	RankStep time.Duration
-	// MaxStoreAge is how long a holder may not have seen the store before
-	// others try to take its slot over.
-	MaxStoreAge time.Duration
 	// ReadRetry is the first time between reads of the slots by a node without
 	// peers; it doubles up to ReadRetryMax.
 	ReadRetry    time.Duration
@@ -62,7 +59,6 @@
 		HeartbeatInterval: 5 * time.Second,
 		SilenceTime:       40 * time.Second,
 		RankStep:          5 * time.Second,
-		MaxStoreAge:       time.Minute,
 		ReadRetry:         time.Second,
 		ReadRetryMax:      30 * time.Second,
 		ReadInterval:      time.Minute,
@@ -303,7 +299,7 @@
 		return c.firstSlot(now)
 	}
 	for _, slot := range c.slots {
-		silence := now.Sub(c.silentSince(slot, now))
+		silence := now.Sub(c.silentSince(slot))
 		if silence < c.cfg.SilenceTime {
 			continue
 		}
@@ -329,9 +325,10 @@
 }
 
 // silentSince returns the time from which the silence of a slot counts, at the
-// earliest from when this process went on after a pause. A holder that gave up its slot, or has not seen the store for MaxStoreAge, is
-// followed without waiting for SilenceTime.
-func (c *Contacts) silentSince(slot string, now time.Time) time.Time {
+// earliest from when this process went on after a pause. A holder that gave up
+// its slot is followed without waiting for SilenceTime. One that does not reach
+// the store lets its lease lapse and falls silent.
+func (c *Contacts) silentSince(slot string) time.Time {
 	b := c.beats.bySlot[slot]
 	if b == nil {
 		return c.awake
@@ -339,9 +336,6 @@
 	if b.released {
 		return b.at.Add(-c.cfg.SilenceTime)
 	}
-	if over := b.age(now) - c.cfg.MaxStoreAge; over > 0 {
-		return earlier(b.at, now.Add(-over-c.cfg.SilenceTime))
-	}
 	return later(b.at, c.awake)
 }
 
--- a/spread/contact_test.go
+++ b/spread/contact_test.go
@@ -42,16 +42,31 @@
 func TestPausedHolderStops(t *testing.T) {
 	s := newContactSim(t, 24)
 	n := s.holders("r0-d0")[0]
-	n.paused = true
+	idle := s.idle()
+	n.paused, idle.paused = true, true
 	s.run(2 * time.Minute)
 	if got := len(s.holders("r0-d0")); got != 2 {
 		t.Fatalf("%d holders while one is paused", got)
 	}
-	n.paused = false
+	n.paused, idle.paused = false, false
+	claims := s.store.claims
 	s.run(200 * time.Millisecond)
 	if n.contacts.Holding() != "" || n.watching {
 		t.Error("woken holder goes on")
 	}
+	if s.store.claims != claims {
+		t.Errorf("%d claims by woken nodes, which heard no heartbeat while paused", s.store.claims-claims)
+	}
+}
+
+// idle returns a node of r0-d0 that holds no slot.
+func (s *sim) idle() *simNode {
+	for _, n := range s.nodes {
+		if n.peer.Domain == "r0-d0" && n.contacts.Holding() == "" {
+			return n
+		}
+	}
+	return nil
 }
 
 func TestStoreOutage(t *testing.T) {
