--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -183,7 +183,7 @@
 		if _, _, ok := profile.SplitKey(e.Key); !ok {
 			continue
 		}
-		r := spread.Record{Key: e.Key, Revision: e.Revision, Value: pack(e.Value), Deleted: len(e.Value) == 0}
+		r := spread.Record{Key: e.Key, Revision: e.Revision, Value: compact(e.Value), Deleted: len(e.Value) == 0}
 		if _, err := c.spreader.Put(r, time.Now()); err != nil {
 			c.log.Warn("record_rejected", zap.String("key", e.Key), zap.Error(err))
 		}
@@ -191,6 +191,14 @@
 	c.applyChanges()
 }
 
+// compact drops what only publishers need. An empty value is a deletion.
+func compact(value []byte) []byte {
+	if len(value) == 0 {
+		return nil
+	}
+	return profile.Compact(value)
+}
+
 // applyChanges puts what is new into force; it runs on the control goroutine.
 func (c *config) applyChanges() {
 	changes := c.spreader.Changes()
@@ -198,7 +206,7 @@
 		return
 	}
 	for _, r := range changes {
-		applied, err := c.apply(r)
+		applied, err := c.book.Apply(r.Key, r.Revision, r.Value)
 		c.log.Info("record", zap.String("key", r.Key), zap.Uint64("revision", r.Revision), zap.Stringer("applied", applied), zap.Error(err))
 	}
 	c.highest.Store(c.book.Highest())
@@ -206,14 +214,6 @@
 	c.logInForce(before, c.book.Snapshot())
 }
 
-func (c *config) apply(r spread.Record) (profile.Applied, error) {
-	value, err := unpack(r.Value)
-	if err != nil {
-		return profile.Malformed, err
-	}
-	return c.book.Apply(r.Key, r.Revision, value)
-}
-
 // logInForce logs each service for which another profile is in force than before.
 func (c *config) logInForce(before, after *profile.Snapshot) {
 	for _, b := range after.Bindings() {
