--- a/kernel/control.go
+++ b/kernel/control.go
@@ -1,6 +1,10 @@
 package kernel
 
-import "sync"
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
 
 // controlQueueLen bounds the functions that wait for the control goroutine.
 const controlQueueLen = 1024
@@ -12,6 +16,7 @@
 	quit  chan struct{}
 	done  chan struct{}
 	once  sync.Once
+	busy  atomic.Int64 // nanoseconds
 }
 
 func newControl() *Control {
@@ -23,13 +28,18 @@
 	for {
 		select {
 		case f := <-c.queue:
+			began := time.Now()
 			f()
+			c.busy.Add(int64(time.Since(began)))
 		case <-c.quit:
 			return
 		}
 	}
 }
 
+// Busy returns the time that the goroutine has worked since its start.
+func (c *Control) Busy() time.Duration { return time.Duration(c.busy.Load()) }
+
 // Go queues f for the control goroutine. It reports false when the queue is
 // full or the node has stopped; f then never runs.
 func (c *Control) Go(f func()) bool {
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -90,6 +90,8 @@
 // New returns a kernel with all registered plug-ins set up.
 func New(s *settings.Settings, nodeID string, log *zap.Logger, reg metrics.Registry) (*Kernel, error) {
 	k := &Kernel{Settings: s, NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Drain: newDrain()}
+	metrics.NewRegisteredFunctionalGauge("control.busy_us", reg, func() int64 { return k.Control.Busy().Microseconds() })
+	metrics.NewRegisteredFunctionalGauge("requests.in_flight", reg, func() int64 { return int64(k.Drain.InFlight()) })
 	registryMu.Lock()
 	list := slices.Clone(registry)
 	registryMu.Unlock()
--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -31,7 +31,8 @@
 	withdraw bool
 	claims   bool
 	whole    bool // a broken answer is an unknown outcome
-	buffer   int  // bytes of an answer held until it is whole
+	meters   *meters
+	buffer   int // bytes of an answer held until it is whole
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -45,6 +46,7 @@
 		claims:   !b.Off(settings.MechanismClaims),
 		whole:    !b.Off(settings.MechanismWholeAnswer),
 		buffer:   k.Settings.Limits.BufferBytes,
+		meters:   newMeters(k.Metrics),
 		services: map[string]*service{},
 	}
 }
@@ -80,6 +82,7 @@
 
 // Do implements kernel.Caller.
 func (c *caller) Do(ctx context.Context, req *kernel.Request) *kernel.Answer {
+	began := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, req.Chain.Deadline)
 	r := &request{Request: req, c: c, s: c.service(req.Service), share: req.Allowance.Share()}
 	ans := r.run(ctx)
@@ -87,6 +90,7 @@
 	if ans.Outcome == call.Refused {
 		r.releaseClaims()
 	}
+	c.meters.count(req.Service, req.Chain.Class, ans, time.Since(began))
 	c.logEnd(r, ans)
 	if ans.Body == nil {
 		cancel()
@@ -167,6 +171,7 @@
 	if !d.Retry {
 		return false
 	}
+	r.c.meters.retries.Inc(1)
 	wait := time.NewTimer(d.Delay)
 	defer wait.Stop()
 	select {
@@ -257,6 +262,7 @@
 		// Nothing ran, so nothing of what travelled can have been spent.
 		r.share.Return(r.granted)
 	default:
+		r.c.meters.forfeited.Inc(int64(r.granted))
 		r.share.Forfeit()
 	}
 }
--- a/plugin/peer/client.go
+++ b/plugin/peer/client.go
@@ -194,6 +194,7 @@
 	if err := p.ask(ctx, addr, head, &reply); err != nil {
 		return nil, err
 	}
+	p.control.Inc(int64(len(payload) + len(reply.GetPayload())))
 	return reply.GetPayload(), nil
 }
 
--- a/plugin/peer/pool.go
+++ b/plugin/peer/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
@@ -18,6 +19,8 @@
 	log    *zap.Logger
 	source string
 	ycfg   *yamux.Config
+	// control counts the bytes of exchanges of the control state.
+	control metrics.Counter
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -32,9 +35,10 @@
 	err  error
 }
 
-func newPool(cfg Config, source string, log *zap.Logger) *pool {
+func newPool(cfg Config, source string, log *zap.Logger, reg metrics.Registry) *pool {
 	return &pool{
 		cfg: cfg, log: log, source: source, ycfg: cfg.yamuxConfig(log),
+		control:  metrics.GetOrRegisterCounter("control.exchange_bytes", reg),
 		sessions: map[string]*session{}, dials: map[string]*dial{},
 	}
 }
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -38,7 +38,7 @@
 
 func newPeer(cfg Config, k *kernel.Kernel) *peer {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &peer{cfg: cfg, k: k, pool: newPool(cfg, k.NodeID, k.Log), ctx: ctx, cancel: cancel, sessions: map[*yamux.Session]struct{}{}}
+	return &peer{cfg: cfg, k: k, pool: newPool(cfg, k.NodeID, k.Log, k.Metrics), ctx: ctx, cancel: cancel, sessions: map[*yamux.Session]struct{}{}}
 }
 
 // Start implements kernel.Plugin.
@@ -152,6 +152,7 @@
 		p.reject(st, err)
 		return
 	}
+	p.pool.control.Inc(int64(len(x.GetPayload()) + len(payload)))
 	protodelim.MarshalTo(st, &wire.Exchange{Topic: x.GetTopic(), Payload: payload, SourceNode: p.k.NodeID})
 }
 
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -48,7 +48,7 @@
 
 func newTarget(k *kernel.Kernel) *target {
 	now := time.Now()
-	return &target{
+	t := &target{
 		k:        k,
 		log:      k.Log,
 		admit:    !k.Settings.Baseline.Off(settings.MechanismAdmission),
@@ -60,6 +60,19 @@
 		refused:  metrics.GetOrRegisterMeter("target.refused", k.Metrics),
 		unknown:  metrics.GetOrRegisterMeter("target.unknown", k.Metrics),
 	}
+	t.registerGauges()
+	return t
+}
+
+func (t *target) registerGauges() {
+	gauge := func(name string, value func(kernel.TargetStatus) int64) {
+		metrics.NewRegisteredFunctionalGauge("target."+name, t.k.Metrics, func() int64 { return value(t.Status()) })
+	}
+	gauge("limit", func(s kernel.TargetStatus) int64 { return int64(s.Pressure.Limit) })
+	gauge("in_flight", func(s kernel.TargetStatus) int64 { return int64(s.Pressure.InFlight) })
+	gauge("queued", func(s kernel.TargetStatus) int64 { return int64(s.Pressure.Queued) })
+	gauge("queue_delay_us", func(s kernel.TargetStatus) int64 { return s.Pressure.QueueDelay.Microseconds() })
+	gauge("service_time_us", func(s kernel.TargetStatus) int64 { return s.Pressure.ServiceTime.Microseconds() })
 }
 
 // Start implements kernel.Plugin.
