A backend server that replaces a drained one gets calls at once

TestDrainsUnderLoad: a node whose backend server was drained and replaced got no call within 15 s. Cause: callers hold a member that refused as leaving for a minute, whatever the membership says. Ruled out: the announcement (members showed it alive with a higher incarnation after 0.2 s). A higher incarnation now ends the hold, and the member ramps up like a new one.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -220,6 +220,27 @@
 	resp.Body.Close()
 }
 
+// sigterm asks a process for a graceful shutdown.
+const sigterm = syscall.SIGTERM
+
+// lastStartAfterDrain returns how long after its drain the last execution
+// started, in milliseconds.
+func (b *backend) lastStartAfterDrain(t *testing.T) int {
+	t.Helper()
+	resp, err := http.Get(b.url + "/executions")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var record struct {
+		Last int `json:"last_start_after_drain_ms"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&record); err != nil {
+		t.Fatal(err)
+	}
+	return record.Last
+}
+
 // executions counts the executions of each request id.
 func (b *backend) executions(t *testing.T) map[string]int {
 	t.Helper()
--- a/plugin/caller/service.go
+++ b/plugin/caller/service.go
@@ -63,7 +63,7 @@
 	for _, m := range s.members {
 		list = append(list, routing.Member{
 			Node: m.ID, Addr: m.Addr, Region: m.Region, Domain: m.Domain,
-			Leaving: m.State == membership.Leaving, Suspect: m.State == membership.Suspect,
+			Leaving: m.State == membership.Leaving, Suspect: m.State == membership.Suspect, Incarnation: m.Incarnation,
 		})
 	}
 	s.router.Update(list, now)
--- a/routing/member.go
+++ b/routing/member.go
@@ -16,6 +16,10 @@
 	Leaving bool      // shutting down, gets nothing new
 	Suspect bool      // did not answer the membership's probes
 	Started time.Time // zero if not known
+
+	// Incarnation rises with each statement of the member about itself, such as
+	// a new announcement after it was leaving.
+	Incarnation uint64
 }
 
 // state is what the router knows of one member.
--- a/routing/pick_test.go
+++ b/routing/pick_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -134,3 +135,23 @@
 		t.Errorf("after a good probe: %+v", st)
 	}
 }
+
+// TestLeavingMemberThatAnnouncesItselfAnew checks that a replaced backend
+// server beside the same node does not wait for LeavingHold.
+func TestLeavingMemberThatAnnouncesItselfAnew(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := New(DefaultConfig(), rand.New(rand.NewPCG(1, 1)))
+	m := Member{Node: "a", Incarnation: 2}
+	r.Update([]Member{m}, now)
+	r.Start("a", now)
+	r.Finish("a", call.Result{Outcome: call.Refused, Reason: call.ReasonLeaving}, now)
+	r.Update([]Member{m}, now)
+	if _, refusal := r.Pick(Query{}, now); refusal.Reason != call.ReasonNoMember {
+		t.Fatalf("a leaving member was not ruled out: %+v", refusal)
+	}
+	m.Incarnation++
+	r.Update([]Member{m}, now)
+	if c, refusal := r.Pick(Query{}, now); refusal.Reason != call.ReasonNone || c.Member.Node != "a" {
+		t.Fatalf("got %+v after the new announcement", refusal)
+	}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -52,6 +52,11 @@
 		r.members[m.Node] = s
 		s.goneSince = now
 	}
+	if m.Incarnation > s.Incarnation && !s.leftAt.IsZero() {
+		// Announced anew after it was leaving, with a cold backend server.
+		s.leftAt = time.Time{}
+		s.firstSeen = now
+	}
 	s.Member = m
 	if s.goneSince.IsZero() {
 		return // listed twice
