--- a/membership/codec_test.go
+++ b/membership/codec_test.go
@@ -33,8 +33,10 @@
 	}
 }
 
-func newTable(t rapid.TB, id string) *Table {
-	self := Member{ID: id, Addr: "10.0.0.1:7000", GossipAddr: "10.0.0.1:7001", Region: "r0", Domain: "d0"}
+func newTable(t rapid.TB, id string) *Table { return newTableAt(t, id, "10.0.0.1:7000") }
+
+func newTableAt(t rapid.TB, id, addr string) *Table {
+	self := Member{ID: id, Addr: addr, GossipAddr: addr, Region: "r0", Domain: "d0"}
 	table, err := New(DefaultConfig(), self, rand.New(rand.NewPCG(1, 1)), time.Unix(1000, 0))
 	if err != nil {
 		t.Fatal(err)
--- a/spread/spreader_test.go
+++ b/spread/spreader_test.go
@@ -12,8 +12,10 @@
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
-func init() {
-	_ = flag.Set("rapid.seed", "1") // the same verdict on each run
+// TestMain fixes the seed of the property tests; a flag overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	m.Run()
 }
 
 func TestRecordReachesAllWithLoss(t *testing.T) {
