--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -31,6 +31,7 @@
 	withdraw bool
 	claims   bool
 	whole    bool // a broken answer is an unknown outcome
+	meters   *meters
 	buffer   int // bytes of an answer held until it is whole
 
 	mu       sync.RWMutex
@@ -45,6 +46,7 @@
 		claims:   !b.Off(settings.MechanismClaims),
 		whole:    !b.Off(settings.MechanismWholeAnswer),
 		buffer:   k.Settings.Limits.BufferBytes,
+		meters:   newMeters(k.Metrics),
 		services: map[string]*service{},
 	}
 }
@@ -80,6 +82,7 @@
 
 // Do implements kernel.Caller.
 func (c *caller) Do(ctx context.Context, req *kernel.Request) *kernel.Answer {
+	began := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, req.Chain.Deadline)
 	r := &request{Request: req, c: c, s: c.service(req.Service), share: req.Allowance.Share()}
 	ans := r.run(ctx)
@@ -87,6 +90,7 @@
 	if ans.Outcome == call.Refused {
 		r.releaseClaims()
 	}
+	c.meters.count(req.Service, req.Chain.Class, ans, time.Since(began))
 	c.logEnd(r, ans)
 	if ans.Body == nil {
 		cancel()
@@ -114,7 +118,7 @@
 		if ans.Outcome == call.Unknown {
 			r.unknown = ans
 		}
-		if !r.retry(ctx, ans) {
+		if !r.retry(ctx, ans, choice.Expected) {
 			return r.final(ans)
 		}
 	}
@@ -157,16 +161,17 @@
 }
 
 // retry decides about another attempt and waits the backoff.
-func (r *request) retry(ctx context.Context, ans *kernel.Answer) bool {
+func (r *request) retry(ctx context.Context, ans *kernel.Answer, expected time.Duration) bool {
 	if r.c.naive {
 		return r.attempts <= naiveRetries && ctx.Err() == nil
 	}
-	d := r.s.decide(ans.Result, r.Chain.Idempotent, r.attempts, time.Until(r.Chain.Deadline), r.share)
+	d := r.s.decide(ans.Result, r.Chain.Idempotent, r.attempts, time.Until(r.Chain.Deadline), expected, r.share)
 	r.c.log.Info("retry", zap.String("service", r.Service), zap.String("chain", r.Chain.ID.String()), zap.Bool("retry", d.Retry),
 		zap.String("rule", d.Rule), zap.Duration("delay", d.Delay), zap.Stringer("outcome", ans.Outcome), zap.String("reason", string(ans.Reason)))
 	if !d.Retry {
 		return false
 	}
+	r.c.meters.retries.Inc(1)
 	wait := time.NewTimer(d.Delay)
 	defer wait.Stop()
 	select {
@@ -189,7 +194,7 @@
 	r.prove(choice.Member.Addr, id, ans)
 	ans.Latency = time.Since(began)
 	r.settle(ans)
-	r.s.finish(choice.Member.Node, ans.Result, r.c.naive)
+	r.s.finish(choice.Member.Node, r.Chain.Priority, ans.Result, r.c.naive)
 	if ans.Body == nil {
 		cancel()
 		return ans
@@ -257,6 +262,7 @@
 		// Nothing ran, so nothing of what travelled can have been spent.
 		r.share.Return(r.granted)
 	default:
+		r.c.meters.forfeited.Inc(int64(r.granted))
 		r.share.Forfeit()
 	}
 }
--- a/routing/throttle.go
+++ b/routing/throttle.go
@@ -31,21 +31,19 @@
 	return worst
 }
 
-// refuse decides by chance whether a call is refused.
+// refuse decides by chance whether a call is refused. At least one call per
+// ProbeInterval is sent, so that the end of the overload is found.
 func (t *throttle) refuse(cfg *Config, p call.Priority, rng *rand.Rand, now time.Time) bool {
 	prob := t.probability(cfg, p, now)
-	return prob > 0 && rng.Float64() < prob
-}
-
-// probe reports whether a call is sent although the throttle would refuse it,
-// and sets the time of the next one.
-func (t *throttle) probe(cfg *Config, p call.Priority, rng *rand.Rand, now time.Time) bool {
+	if prob <= 0 || rng.Float64() >= prob {
+		return false
+	}
 	next := &t.nextProbe[index(p)]
 	if now.Before(*next) {
-		return false
+		return true
 	}
 	*next = now.Add(spread(cfg.ProbeInterval, rng))
-	return true
+	return false
 }
 
 // refused counts a call that was refused here.
@@ -76,67 +74,3 @@
 	}
 	t.windows[index(p)].forget(cfg, now)
 }
-
-// windowSlots is the number of slots that a sliding window is cut into.
-const windowSlots = 10
-
-// window counts requests and accepts over the last ThrottleWindow.
-type window struct {
-	slots [windowSlots]slot
-}
-
-// slot is one part of a window.
-type slot struct {
-	number   int64 // of the slot, counted from the epoch
-	requests float64
-	accepts  float64
-}
-
-// slotNumber returns the number of the slot that now falls into.
-func slotNumber(cfg *Config, now time.Time) int64 {
-	return now.UnixNano() / max(int64(cfg.ThrottleWindow/windowSlots), 1)
-}
-
-// add counts into the current slot.
-func (w *window) add(cfg *Config, requests, accepts float64, now time.Time) {
-	n := slotNumber(cfg, now)
-	s := &w.slots[uint64(n)%windowSlots]
-	if s.number != n {
-		*s = slot{number: n}
-	}
-	s.requests += requests
-	s.accepts += accepts
-}
-
-// sums returns the requests and accepts in the window.
-func (w *window) sums(cfg *Config, now time.Time) (requests, accepts float64) {
-	oldest := slotNumber(cfg, now) - windowSlots
-	for _, s := range w.slots {
-		if s.number > oldest {
-			requests += s.requests
-			accepts += s.accepts
-		}
-	}
-	return requests, max(accepts, 0)
-}
-
-// excess returns the part of the requests that go beyond what is accepted.
-func (w *window) excess(cfg *Config, now time.Time) float64 {
-	requests, accepts := w.sums(cfg, now)
-	if requests < cfg.ThrottleMinRequests {
-		return 0
-	}
-	return max((requests-cfg.ThrottleFactor*accepts)/(requests+1), 0)
-}
-
-// forget removes a part of the refusals from each slot.
-func (w *window) forget(cfg *Config, now time.Time) {
-	oldest := slotNumber(cfg, now) - windowSlots
-	for i := range w.slots {
-		s := &w.slots[i]
-		if s.number <= oldest || s.requests <= s.accepts {
-			continue
-		}
-		s.requests -= cfg.RecoveryForget * (s.requests - s.accepts)
-	}
-}
