Admission: regain the limit up to what the recent past allowed

Cause: several series of cuts in one slowdown took the limit to the floor, from where it grew by a tenth per window.

--- a/admission/limiter.go
+++ b/admission/limiter.go
@@ -16,6 +16,13 @@
 	responseFraction = 0.5
 	responseFactor   = 0.7
 
+	// easingFactor is a fall of the latency ratio, within a series of cuts, that
+	// the last cut does not explain.
+	easingFactor = 0.5
+
+	// peakDecay is the part of the highest recent limit that is kept per window.
+	peakDecay = 0.97
+
 	// firstProbe is the wait for the first probe. The first baseline is often
 	// measured with calls waiting in the backend server.
 	firstProbe = time.Second
@@ -51,6 +58,7 @@
 	lat       *latencies
 	limit     float64
 	slowStart float64 // threshold up to which the limit grows fast
+	peak      float64 // highest recent limit that latency allowed
 	hinted    int     // last report of the backend server
 
 	baseline    baseline
@@ -61,12 +69,13 @@
 	inUse       bool
 	ratio       float64 // latency to baseline in the last window
 
-	cutFrom   float64 // limit before the first of a series of cuts, or 0
-	cutRatio  float64 // latency ratio that caused it
-	probeFrom float64 // limit to restore after a probe, or 0
-	lastProbe time.Time
-	probeWait time.Duration // until the next probe, growing to ProbeInterval
-	lastShed  time.Time
+	cutFrom    float64 // limit before the first of a series of cuts, or 0
+	firstRatio float64 // latency ratio that caused the first cut
+	cutRatio   float64 // latency ratio in the last window of the series
+	probeFrom  float64 // limit to restore after a probe, or 0
+	lastProbe  time.Time
+	probeWait  time.Duration // until the next probe, growing to ProbeInterval
+	lastShed   time.Time
 }
 
 func newLimiter(cfg *Config, lat *latencies, now time.Time) *limiter {
@@ -180,6 +189,7 @@
 
 // calm handles a window whose latency is near the baseline.
 func (l *limiter) calm(inUse bool, now time.Time) {
+	l.peak = max(l.limit, peakDecay*l.peak)
 	if l.cutFrom > 0 {
 		l.endCuts()
 		return
@@ -198,9 +208,10 @@
 	l.slowStart = min(l.slowStart, l.limit)
 }
 
-// endCuts lets the limit return fast to where the first cut had brought it.
+// endCuts lets the limit return fast to where one cut of the highest recent limit
+// would have brought it.
 func (l *limiter) endCuts() {
-	l.slowStart = max(l.limit, cutFactor*l.cutFrom)
+	l.slowStart = max(l.limit, cutFactor*l.peak)
 	l.cutFrom = 0
 }
 
@@ -215,21 +226,36 @@
 
 // congested handles a window whose latency is far above the baseline.
 func (l *limiter) congested(window classSums, now time.Time) {
+	previous := l.cutRatio
 	if l.cutFrom == 0 {
 		l.cutFrom = l.limit
-		l.cutRatio = l.ratio
-	} else if l.limit <= responseFraction*l.cutFrom && l.ratio > responseFactor*l.cutRatio {
+		l.firstRatio = l.ratio
+	}
+	l.cutRatio = l.ratio
+	switch {
+	case l.unresponsive():
 		l.baseline.rebase(window)
 		l.probeWait = firstProbe // checks the judgement
 		l.set(l.cutFrom)
 		l.cutFrom = 0
 		l.settle()
-		return
+	case l.cutFrom > l.limit && l.ratio < easingFactor*previous:
+		// The cause is ending: another cut would only delay the recovery.
+	default:
+		l.set(l.limit * cutFactor)
+		l.slowStart = l.limit
+		l.lastProbe = now
+		l.settle()
 	}
-	l.set(l.limit * cutFactor)
-	l.slowStart = l.limit
-	l.lastProbe = now
-	l.settle()
+}
+
+// unresponsive reports whether cuts do not lower the latency.
+func (l *limiter) unresponsive() bool {
+	if l.limit <= float64(l.cfg.MinLimit) && l.cutFrom == l.limit {
+		return true
+	}
+	halved := l.limit <= responseFraction*l.cutFrom
+	return halved && l.ratio > responseFactor*l.firstRatio
 }
 
 // shed handles a refusal by the backend server.
