Keys are granted only on proof by a holder; faults found by a read-through

A purchase sent again under its key ran twice after a service had grown by two members and then lost the two that held the key. Cause: a holder counted its claims as complete from the start of its process, not from when the key came to it. Counting losses of members, the rule before, sees neither growth nor losses before its first claim. Ruled out: counting from the announcement alone (a member that was no holder becomes one when others leave) and asking three holders (moves the case to three replacements).

Holders now remember the views of the members. A key is granted if all of its holders grant it and one of them was among its holders in each view since the key was minted. A key without a time is taken to be 10 s old, since refusing all such keys would refuse every caller that sends random ones.

--- a/call/call.go
+++ b/call/call.go
@@ -75,7 +75,6 @@
 	ReasonDeadline    Reason = "deadline"     // cannot finish before its deadline
 	ReasonLeaving     Reason = "leaving"      // the target is shutting down
 	ReasonNoMember    Reason = "no_member"    // no backend server is known for the service
-	ReasonNoService   Reason = "no_service"   // the service name is unknown
 	ReasonThrottled   Reason = "throttled"    // refused at the caller's side because the service is overloaded
 	ReasonDuplicate   Reason = "duplicate"    // this attempt was received before
 	ReasonWithdrawn   Reason = "withdrawn"    // the caller's node withdrew the attempt
@@ -87,7 +86,6 @@
 	ReasonKeyHeld     Reason = "key_held"     // the idempotency key was submitted before
 	ReasonKeyUnproved Reason = "key_unproved" // the idempotency key cannot be proved unused
 	ReasonBadRequest  Reason = "bad_request"  // the request is malformed or too large
-	ReasonUntrusted   Reason = "untrusted"    // the caller may not use this listener
 )
 
 // ID identifies an attempt, a chain or a submission.
--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -395,3 +395,37 @@
 		t.Errorf("%d attempts at the last service, want 2 to %d", n, retries+1)
 	}
 }
+
+// TestResentPurchaseAfterItsHoldersWereReplaced sends a purchase again after
+// every member that knew of it has left and others have taken their place.
+func TestResentPurchaseAfterItsHoldersWereReplaced(t *testing.T) {
+	p := newPair(t, "", "--service-time", "5ms")
+	time.Sleep(6 * time.Second)
+	key, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	buy := callOptions{method: http.MethodPost, path: "/buy/x", id: "buy", headers: map[string]string{"Idempotency-Key": key.String()}}
+	if r := p.entry.call("rates", buy); !whole(r) {
+		t.Fatalf("first submission: %v", r)
+	}
+	executed := p.executions()["buy"]
+	var next [2]*node
+	for i := range next {
+		next[i] = p.startNode(fmt.Sprintf("next%d", i), nodeOptions{})
+		p.startBackend(next[i], "rates", "--service-time", "5ms")
+	}
+	for _, m := range p.member {
+		m.backend.signal(syscall.SIGTERM)
+		m.backend.exited(t, waitLimit)
+	}
+	time.Sleep(time.Second)
+	r := p.entry.call("rates", buy)
+	for _, m := range next {
+		executed += m.backend.executions(t)["buy"]
+	}
+	t.Logf("second submission: %v, executed %d times", r, executed)
+	if executed != 1 || r.outcome != "unknown" {
+		t.Errorf("second submission: %v, executed %d times", r, executed)
+	}
+}
--- a/errs/errs.go
+++ b/errs/errs.go
@@ -39,11 +39,12 @@
 	Message string
 	Remedy  string
 	cause   error
+	stack   error // holds the place where the error was made
 }
 
 // New returns an error with a stack trace; remedy says what the reader can do.
 func New(kind Kind, remedy, format string, args ...any) error {
-	return eris.Wrap(&Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy}, "")
+	return &Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy, stack: eris.New(kind.String())}
 }
 
 // Wrap returns an error of the given kind caused by err.
@@ -63,6 +64,15 @@
 	return s
 }
 
+// Stack returns the calls that led to New, for a debugger; it is not part of
+// the message, so that a log line stays one line.
+func (e *Error) Stack() string {
+	if e.stack == nil {
+		return ""
+	}
+	return eris.ToString(e.stack, true)
+}
+
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
--- a/errs/errs_test.go
+++ b/errs/errs_test.go
@@ -1,7 +1,10 @@
 package errs
 
 import (
+	"errors"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 )
 
@@ -27,7 +30,15 @@
 
 func TestNewPrintsMessageAndRemedyOnly(t *testing.T) {
 	const want = "revision 3; read again"
-	if got := New(Conflict, "read again", "revision %d", 3).Error(); got != want {
-		t.Fatalf("got %q, want %q", got, want)
+	err := New(Conflict, "read again", "revision %d", 3)
+	if err.Error() != want {
+		t.Fatalf("got %q, want %q", err.Error(), want)
+	}
+	if got := fmt.Sprintf("%+v", err); got != want {
+		t.Fatalf("printed in full: %q, want one line", got)
+	}
+	var e *Error
+	if !errors.As(err, &e) || !strings.Contains(e.Stack(), "TestNewPrintsMessageAndRemedyOnly") {
+		t.Fatal("the stack does not name the caller")
 	}
 }
--- a/plugin/caller/claim.go
+++ b/plugin/caller/claim.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -11,11 +13,11 @@
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/execution"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/plugin/target"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
 const (
-	claimHolders   = 2 // members that must all grant a key
 	claimTimeout   = 500 * time.Millisecond
 	releaseTimeout = time.Second
 )
@@ -34,12 +36,17 @@
 		return nil
 	}
 	members := r.s.memberIDs(r.c.k.Fleet)
-	holders := execution.Holders(r.Service+"/"+r.IdempotencyKey, keys(members), claimHolders)
-	replies := r.askHolders(ctx, holders, members)
-	for _, reply := range replies {
+	names := slices.Collect(maps.Keys(members))
+	holders := execution.Holders(target.HolderKey(r.Service, r.IdempotencyKey), names, target.ClaimHolders)
+	proved := len(holders) == 0 // there is nobody to run it either
+	for _, reply := range r.askHolders(ctx, holders, members) {
 		if !reply.GetGranted() {
 			return r.claimDenied(call.Reason(reply.GetReason()))
 		}
+		proved = proved || reply.GetProved()
+	}
+	if !proved {
+		return r.claimDenied(call.ReasonKeyUnproved)
 	}
 	return nil
 }
@@ -94,11 +101,3 @@
 		}()
 	}
 }
-
-func keys(m map[string]string) []string {
-	out := make([]string, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	return out
-}
--- a/plugin/entry/answer.go
+++ b/plugin/entry/answer.go
@@ -73,11 +73,7 @@
 	setEnding(w, call.Refused, reason)
 	w.Header().Set(HeaderRetryAfter, strconv.FormatInt(after.Milliseconds(), 10))
 	w.Header().Set("Retry-After", strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10))
-	status := http.StatusServiceUnavailable
-	if reason == call.ReasonNoService {
-		status = http.StatusNotFound
-	}
-	http.Error(w, "refused and not run ("+string(reason)+"); send it again after the time in Retry-After", status)
+	http.Error(w, "refused and not run ("+string(reason)+"); send it again after the time in Retry-After", http.StatusServiceUnavailable)
 }
 
 // writeUnknown tells the caller that its request may have run.
--- a/plugin/target/holders.go
+++ b/plugin/target/holders.go
@@ -3,47 +3,53 @@
 import (
 	"time"
 
-	"github.com/dogwoodhatch/dogwoodhatch/execution"
-	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
-// holderWatch notices lost members of the service whose keys this node holds.
-// A key has two holders. One loss leaves the other, and a claim made after it
-// is recorded at the replacement. A second loss can therefore lose only claims
-// made before the first, so keys minted before then are no longer proved.
-type holderWatch struct {
-	version  uint64
-	service  string
-	members  map[string]bool
-	lastLoss time.Time // zero before the first
-}
+const (
+	// ClaimHolders is the number of members that must all grant a key.
+	ClaimHolders = 2
 
-// update compares the members of the service with those seen last.
-func (w *holderWatch) update(fleet kernel.Fleet, service string, claims *execution.Claims, now time.Time) {
-	version := fleet.Version()
-	if version == w.version && service == w.service {
-		return
-	}
-	current := map[string]bool{}
-	for _, m := range fleet.Members(service) {
-		current[m.ID] = true
+	// untimedKeyWindow is the age that a key without a time is taken to have. A
+	// resend of such a key is refused for this long even if both holders were
+	// replaced, and for as long as one of them lives.
+	untimedKeyWindow = 10 * time.Second
+)
+
+// Claim implements kernel.Target.
+func (t *target) Claim(c *wire.Claim) *wire.ClaimReply {
+	id, err := call.ParseID(c.GetSubmissionId())
+	if err != nil {
+		return &wire.ClaimReply{Reason: string(call.ReasonBadRequest)}
 	}
-	if service == w.service {
-		w.countLosses(current, claims, now)
+	now := time.Now()
+	minted := time.UnixMilli(c.GetMintedUnixMs())
+	if c.GetMintedUnixMs() == 0 {
+		minted = now.Add(-untimedKeyWindow)
 	}
-	w.version = version
-	w.service = service
-	w.members = current
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observeMembers(now)
+	granted, reason := t.claims.Claim(c.GetService(), c.GetKey(), id, minted, now)
+	proved := c.GetService() == t.backend.Service && t.views.Proves(HolderKey(c.GetService(), c.GetKey()), minted)
+	return &wire.ClaimReply{Granted: granted, Reason: string(reason), Proved: proved}
 }
 
-func (w *holderWatch) countLosses(current map[string]bool, claims *execution.Claims, now time.Time) {
-	for id := range w.members {
-		if current[id] {
-			continue
-		}
-		if !w.lastLoss.IsZero() {
-			claims.TakeOver(w.lastLoss)
-		}
-		w.lastLoss = now
+// HolderKey returns the key by which the holders of an idempotency key are chosen.
+func HolderKey(service, key string) string { return service + "/" + key }
+
+// observeMembers records the members of the service when the fleet has changed;
+// the caller holds mu.
+func (t *target) observeMembers(now time.Time) {
+	version := t.k.Fleet.Version()
+	if version == t.seen || t.backend.Service == "" {
+		return
+	}
+	t.seen = version
+	var members []string
+	for _, m := range t.k.Fleet.Members(t.backend.Service) {
+		members = append(members, m.ID)
 	}
+	t.views.Observe(members, now)
 }
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -105,6 +105,8 @@
 		return call.Result{Outcome: call.Unknown, Reason: call.ReasonDuplicate}, true
 	case execution.Withdrawn:
 		return refused(call.ReasonWithdrawn, 0), true
+	case execution.Full:
+		return refused(call.ReasonQueueFull, 0), true
 	}
 	if t.leaving || !t.up || t.backend.Service != a.head.GetService() {
 		t.registry.Refused(a.id, now)
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -43,7 +43,8 @@
 	leaving  bool
 	renewed  time.Time
 	running  map[string]*kernel.Execution
-	watched  holderWatch
+	views    *execution.Views
+	seen     uint64 // version of the fleet that views knows
 }
 
 func newTarget(k *kernel.Kernel) *target {
@@ -54,7 +55,8 @@
 		admit:    !k.Settings.Baseline.Off(settings.MechanismAdmission),
 		started:  now,
 		registry: execution.NewRegistry(execution.DefaultRegistryConfig()),
-		claims:   execution.NewClaims(execution.DefaultClaimsConfig(), now),
+		claims:   execution.NewClaims(execution.DefaultClaimsConfig(), time.Time{}),
+		views:    execution.NewViews(k.NodeID, ClaimHolders, execution.DefaultClaimsConfig().ClockSkew),
 		running:  map[string]*kernel.Execution{},
 		answered: metrics.GetOrRegisterMeter("target.answered", k.Metrics),
 		refused:  metrics.GetOrRegisterMeter("target.refused", k.Metrics),
@@ -117,12 +119,12 @@
 // expire forgets old attempts, and the backend server when its announcement lapsed.
 func (t *target) expire(now time.Time) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.registry.Expire(now)
-	lapsed := t.up && now.Sub(t.renewed) > t.k.Settings.Backend.AnnounceTTL
-	t.mu.Unlock()
-	if lapsed {
+	t.observeMembers(now)
+	if t.up && now.Sub(t.renewed) > t.k.Settings.Backend.AnnounceTTL {
 		t.log.Warn("backend_lapsed", zap.String("service", t.backend.Service), zap.String("addr", t.backend.Address))
-		t.Withdrawn()
+		t.withdraw(now)
 	}
 }
 
@@ -142,6 +144,14 @@
 	if t.leaving || t.up && t.backend == b {
 		return
 	}
+	if t.up && t.backend.Service == b.Service && t.backend.Address == b.Address {
+		t.backend = b
+		t.ctrl.Hint(b.Slots, now)
+		return
+	}
+	if t.up {
+		t.withdraw(now)
+	}
 	t.backend = b
 	t.up = true
 	t.ctrl = admission.New(t.admissionConfig(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
@@ -158,12 +168,17 @@
 func (t *target) Withdrawn() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.withdraw(time.Now())
+}
+
+// withdraw ends serving the backend server; the caller holds mu.
+func (t *target) withdraw(now time.Time) {
 	if !t.up {
 		return
 	}
 	t.up = false
 	t.log.Info("backend_withdrawn", zap.String("service", t.backend.Service), zap.Int("running", len(t.running)))
-	t.deliver(t.ctrl.Leave(time.Now()))
+	t.deliver(t.ctrl.Leave(now))
 	t.k.Fleet.Announce("")
 }
 
@@ -204,23 +219,6 @@
 	return t.registry.Withdraw(attempt, time.Now())
 }
 
-// Claim implements kernel.Target.
-func (t *target) Claim(c *wire.Claim) *wire.ClaimReply {
-	id, err := call.ParseID(c.GetSubmissionId())
-	if err != nil {
-		return &wire.ClaimReply{Reason: string(call.ReasonBadRequest)}
-	}
-	var minted time.Time
-	if ms := c.GetMintedUnixMs(); ms != 0 {
-		minted = time.UnixMilli(ms)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.watched.update(t.k.Fleet, c.GetService(), t.claims, time.Now())
-	granted, reason := t.claims.Claim(c.GetService(), c.GetKey(), id, minted, time.Now())
-	return &wire.ClaimReply{Granted: granted, Reason: string(reason)}
-}
-
 // Release implements kernel.Target.
 func (t *target) Release(r *wire.Release) {
 	id, err := call.ParseID(r.GetSubmissionId())
--- a/profile/format.go
+++ b/profile/format.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"strings"
-
-	"github.com/dogwoodhatch/dogwoodhatch/call"
 )
 
 // Format returns p as INI text that Parse reads back as the same profile.
@@ -19,10 +17,6 @@
 	}
 	formatClass(&b, sectionDefault, &p.Default)
 	fmt.Fprintf(&b, "[%s]\ndeadline = %s\n\n", sectionSubCall, p.SubCall.Deadline)
-	fmt.Fprintf(&b, "[%s]\n", sectionAdmitShare)
-	for i := call.PriorityCritical + 1; i < call.NumPriorities; i++ {
-		fmt.Fprintf(&b, "%s = %s\n", i, formatFloat(p.AdmitShare[i]))
-	}
 	return []byte(b.String())
 }
 
--- a/profile/parse.go
+++ b/profile/parse.go
@@ -19,16 +19,15 @@
 	MaxClasses  = 64
 	MaxRetries  = 8 // of a whole call chain
 	MinDeadline = 10 * time.Millisecond
-	MaxDeadline = 10 * time.Minute
+	MaxDeadline = time.Minute // below the retention of attempts at the target node
 )
 
 // Sections of the INI text.
 const (
-	sectionProfile    = "profile"
-	sectionDefault    = "default"
-	sectionSubCall    = "sub-call"
-	sectionAdmitShare = "admit-share"
-	classPrefix       = "class "
+	sectionProfile = "profile"
+	sectionDefault = "default"
+	sectionSubCall = "sub-call"
+	classPrefix    = "class "
 )
 
 var (
@@ -97,7 +96,6 @@
 		return r
 	}
 	r.sections(file)
-	r.checkShares()
 	r.checkOverlaps()
 	r.profile.finish()
 	return r
@@ -150,11 +148,9 @@
 		r.keys(s, classKeys(&r.profile.Default))
 	case s.Name() == sectionSubCall:
 		r.keys(s, map[string]func(string) string{"deadline": durationInto(&r.profile.SubCall.Deadline)})
-	case s.Name() == sectionAdmitShare:
-		r.keys(s, r.shareKeys())
 	default:
 		r.unknown = append(r.unknown, Fault{Section: s.Name(), Message: "unknown section",
-			Remedy: "use profile, default, sub-call, admit-share or \"class NAME\""})
+			Remedy: "use profile, default, sub-call or \"class NAME\""})
 	}
 }
 
@@ -234,33 +230,6 @@
 	return listInto(&r.profile.Owners, ValidName, "use names of credentials, separated by commas")(v)
 }
 
-// shareKeys returns the setters of admit-share; the share of critical is 1.
-func (r *reader) shareKeys() map[string]func(string) string {
-	setters := make(map[string]func(string) string)
-	for p := call.PriorityCritical + 1; p < call.NumPriorities; p++ {
-		setters[p.String()] = func(v string) string {
-			share, err := strconv.ParseFloat(v, 64)
-			if err != nil || !(share > 0 && share <= 1) {
-				return "use a number above 0 and up to 1"
-			}
-			r.profile.AdmitShare[p] = share
-			return ""
-		}
-	}
-	return setters
-}
-
-// checkShares reports a priority that may hold more than a more important one.
-func (r *reader) checkShares() {
-	shares := r.profile.AdmitShare
-	for p := call.PriorityCritical + 1; p < call.NumPriorities; p++ {
-		if shares[p] > shares[p-1] {
-			r.fault(sectionAdmitShare, p.String(), formatFloat(shares[p]),
-				fmt.Sprintf("use at most %s, the share of %s", formatFloat(shares[p-1]), p-1), "share exceeds that of a more important priority")
-		}
-	}
-}
-
 // checkOverlaps reports two classes that match a call equally well.
 func (r *reader) checkOverlaps() {
 	type match struct{ path, method string }
@@ -317,8 +286,6 @@
 	return pathPattern.MatchString(p) && !dotPathPattern.MatchString(p) && !trailing
 }
 
-func formatFloat(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
-
 // err returns the faults as one typed error.
 func (f Faults) err(name string) error {
 	return errs.Wrap(f, errs.Invalid, "correct every fault and publish again", "profile %q has %d fault(s)", name, len(f))
--- a/profile/parse_test.go
+++ b/profile/parse_test.go
@@ -55,12 +55,6 @@
 [sub-call]
 retries = 2
 
-[admit-share]
-critical = 0.5
-high = 0.4
-normal = 0.9
-low = NaN
-
 [colours]
 red = true
 `
@@ -103,7 +97,6 @@
 	}
 	p.Default = drawClass(t, defaultClassName)
 	p.SubCall.Deadline = drawDeadline(t)
-	p.AdmitShare[call.PriorityLow] = rapid.Float64Range(0.01, 0.9).Draw(t, "share")
 	p.finish()
 	return p
 }
--- a/profile/profile.go
+++ b/profile/profile.go
@@ -58,12 +58,6 @@
 	// priority and no retries.
 	SubCall Class
 
-	// AdmitShare is, for each priority, the largest part of a backend server's
-	// concurrency limit that calls of this and less important priorities may
-	// hold together. A lower share keeps more slots free for more important
-	// calls, and leaves them idle while none arrive.
-	AdmitShare [call.NumPriorities]float64
-
 	// nonIdempotentDefault is Default for methods that HTTP does not define as
 	// idempotent.
 	nonIdempotentDefault Class
@@ -85,15 +79,11 @@
 	subCallClassName = "sub-call"
 )
 
-// defaultAdmitShare holds the shares of critical, high, normal and low calls.
-var defaultAdmitShare = [call.NumPriorities]float64{1, 0.95, 0.9, 0.8}
-
 func newProfile(name string) *Profile {
 	return &Profile{
-		Name:       name,
-		Default:    Class{Name: defaultClassName, Priority: call.PriorityLow, Deadline: defaultDeadline},
-		SubCall:    Class{Name: subCallClassName, Priority: call.PriorityLow, Deadline: defaultSubCallDeadline},
-		AdmitShare: defaultAdmitShare,
+		Name:    name,
+		Default: Class{Name: defaultClassName, Priority: call.PriorityLow, Deadline: defaultDeadline},
+		SubCall: Class{Name: subCallClassName, Priority: call.PriorityLow, Deadline: defaultSubCallDeadline},
 	}
 }
 
--- a/settings/field.go
+++ b/settings/field.go
@@ -17,6 +17,7 @@
 	fallback     string
 	required     bool
 	set          func(value string) error // the error names the remedy
+	mayBeEmpty   bool                     // an empty value differs from the fallback
 }
 
 // read applies the value in f, or the fallback, and returns a fault or "".
@@ -24,6 +25,9 @@
 	value := fd.fallback
 	if sec, err := f.GetSection(fd.section); err == nil && sec.HasKey(fd.key) {
 		value = sec.Key(fd.key).String()
+		if value == "" && fd.fallback != "" && !fd.mayBeEmpty {
+			return fmt.Sprintf("[%s] %s: empty; set a value or remove the key", fd.section, fd.key)
+		}
 	}
 	if value == "" {
 		if fd.required {
@@ -40,30 +44,30 @@
 // fields lists every key that a settings file may hold.
 func fields(s *Settings) []field {
 	return []field{
-		{"node", "id", "", true, text(&s.Node.ID)},
-		{"node", "region", "", true, text(&s.Node.Region)},
-		{"node", "failure_domain", "", true, text(&s.Node.FailureDomain)},
-		{"listen", "outside", "", true, address(&s.Listen.Outside)},
-		{"listen", "local", "", true, address(&s.Listen.Local)},
-		{"listen", "peer", "", true, address(&s.Listen.Peer)},
-		{"listen", "gossip", "", true, address(&s.Listen.Gossip)},
-		{"listen", "advertise_peer", "", false, address(&s.Listen.AdvertisePeer)},
-		{"listen", "admin", "", false, address(&s.Listen.Admin)},
-		{"store", "url", "", false, checked(&s.Store.URL, checkURL)},
-		{"store", "timeout", "2s", false, duration(&s.Store.Timeout, 10*time.Millisecond, time.Minute)},
-		{"contacts", "addresses", "", false, addresses(&s.Contacts.Addresses)},
-		{"admin", "credentials", "", false, credentials(&s.Admin.Credentials)},
-		{"admin", "admins", "", false, list(&s.Admin.Admins)},
-		{"backend", "shed_header", "X-Shed", false, text(&s.Backend.ShedHeader)},
-		{"backend", "announce_ttl", "3s", false, duration(&s.Backend.AnnounceTTL, 100*time.Millisecond, 5*time.Minute)},
-		{"backend", "drain_timeout", "30s", false, duration(&s.Backend.DrainTimeout, time.Second, 10*time.Minute)},
-		{"limits", "max_request_bytes", "1048576", false, number(&s.Limits.MaxRequestBytes, 0, 1<<30)},
-		{"limits", "buffer_bytes", "262144", false, number(&s.Limits.BufferBytes, 0, 1<<30)},
-		{"log", "path", "", false, text(&s.Log.Path)},
-		{"log", "level", "info", false, oneOf(&s.Log.Level, "debug", "info", "warn", "error")},
-		{"log", "buffer", "8192", false, number(&s.Log.Buffer, 1, 1<<20)},
-		{"baseline", "mode", "none", false, oneOf(&s.Baseline.Mode, "none", modeNaive)},
-		{"baseline", "disable", "", false, listOf(&s.Baseline.Disable, mechanisms...)},
+		{section: "node", key: "id", required: true, set: text(&s.Node.ID)},
+		{section: "node", key: "region", required: true, set: text(&s.Node.Region)},
+		{section: "node", key: "failure_domain", required: true, set: text(&s.Node.FailureDomain)},
+		{section: "listen", key: "outside", required: true, set: address(&s.Listen.Outside)},
+		{section: "listen", key: "local", required: true, set: address(&s.Listen.Local)},
+		{section: "listen", key: "peer", required: true, set: address(&s.Listen.Peer)},
+		{section: "listen", key: "gossip", required: true, set: address(&s.Listen.Gossip)},
+		{section: "listen", key: "advertise_peer", set: address(&s.Listen.AdvertisePeer)},
+		{section: "listen", key: "admin", set: address(&s.Listen.Admin)},
+		{section: "store", key: "url", set: checked(&s.Store.URL, checkURL)},
+		{section: "store", key: "timeout", fallback: "2s", set: duration(&s.Store.Timeout, 10*time.Millisecond, time.Minute)},
+		{section: "contacts", key: "addresses", set: addresses(&s.Contacts.Addresses)},
+		{section: "admin", key: "credentials", set: credentials(&s.Admin.Credentials)},
+		{section: "admin", key: "admins", set: list(&s.Admin.Admins)},
+		{section: "backend", key: "shed_header", fallback: "X-Shed", set: text(&s.Backend.ShedHeader), mayBeEmpty: true},
+		{section: "backend", key: "announce_ttl", fallback: "3s", set: duration(&s.Backend.AnnounceTTL, 100*time.Millisecond, 5*time.Minute)},
+		{section: "backend", key: "drain_timeout", fallback: "30s", set: duration(&s.Backend.DrainTimeout, time.Second, 10*time.Minute)},
+		{section: "limits", key: "max_request_bytes", fallback: "1048576", set: number(&s.Limits.MaxRequestBytes, 0, 1<<30)},
+		{section: "limits", key: "buffer_bytes", fallback: "262144", set: number(&s.Limits.BufferBytes, 0, 1<<30)},
+		{section: "log", key: "path", set: text(&s.Log.Path)},
+		{section: "log", key: "level", fallback: "info", set: oneOf(&s.Log.Level, "debug", "info", "warn", "error")},
+		{section: "log", key: "buffer", fallback: "8192", set: number(&s.Log.Buffer, 1, 1<<20)},
+		{section: "baseline", key: "mode", fallback: "none", set: oneOf(&s.Baseline.Mode, "none", modeNaive)},
+		{section: "baseline", key: "disable", set: listOf(&s.Baseline.Disable, mechanisms...)},
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -132,8 +132,8 @@
 	s := &Settings{}
 	faults := apply(s, f)
 	if len(faults) > 0 {
-		return nil, errs.New(errs.Invalid, "correct each line and run the check again",
-			"settings file %q has %d faults:\n  %s\n ", path, len(faults), strings.Join(faults, "\n  "))
+		return nil, errs.New(errs.Invalid, "", // each fault names its remedy
+			"settings file %q has %d faults:\n  %s", path, len(faults), strings.Join(faults, "\n  "))
 	}
 	return s, nil
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -58,6 +58,16 @@
 	}
 }
 
+func TestEmptyValueIsAFault(t *testing.T) {
+	_, err := load(t, valid+"[backend]\nannounce_ttl =\nshed_header =\n")
+	if err == nil || !strings.Contains(err.Error(), "[backend] announce_ttl: empty; set a value or remove the key") {
+		t.Fatalf("got %v", err)
+	}
+	if strings.Contains(err.Error(), "shed_header") {
+		t.Fatalf("an empty shed_header turns the trust off and is no fault: %v", err)
+	}
+}
+
 func FuzzLoad(f *testing.F) {
 	f.Add(valid)
 	f.Add("[node\nid=")
