--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -48,15 +48,6 @@
 	return next
 }
 
-func (n *node) running() bool {
-	select {
-	case <-n.done:
-		return false
-	default:
-		return true
-	}
-}
-
 // inForce tells whether the node has the revision of the profile in force for
 // the service.
 func (n *node) inForce(service, tag string) bool {
