--- /dev/null
+++ b/plugin/peer/frame_test.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
+)
+
+// encodeAnswer returns the frames of a whole answer.
+func encodeAnswer(t *rapid.T, body []byte) []byte {
+	var buf bytes.Buffer
+	w := &answerWriter{bw: bufio.NewWriter(&buf), hash: xxhash.New()}
+	if err := w.WriteHead(http.StatusOK, http.Header{"A": {"b"}}, call.Pressure{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Write(body); err != nil {
+		t.Fatal(err)
+	}
+	w.finish(call.Result{Outcome: call.Answered, RetriesLeft: 2})
+	return buf.Bytes()
+}
+
+func readAnswer(frames []byte) (*answerReader, []byte, error) {
+	r := &answerReader{br: bufio.NewReader(bytes.NewReader(frames)), hash: xxhash.New(), trailer: &kernel.Trailer{}}
+	if _, err := r.head(); err != nil {
+		return r, nil, err
+	}
+	body, err := io.ReadAll(r)
+	return r, body, err
+}
+
+// TestOnlyWholeAnswersEnd cuts or alters the frames of an answer anywhere.
+func TestOnlyWholeAnswersEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SliceOfN(rapid.Byte(), 0, 100_000).Draw(t, "body")
+		frames := encodeAnswer(t, body)
+		r, got, err := readAnswer(frames)
+		if err != nil || !bytes.Equal(got, body) || r.trailer.RetriesLeft != 2 || !r.trailer.Done {
+			t.Fatalf("whole answer: %d of %d bytes, %v", len(got), len(body), err)
+		}
+		cut := rapid.IntRange(0, len(frames)-1).Draw(t, "cut")
+		if _, _, err := readAnswer(frames[:cut]); err == nil {
+			t.Fatalf("an answer cut at %d of %d bytes looked whole", cut, len(frames))
+		}
+	})
+}
+
+func TestAlteredBodyIsNotWhole(t *testing.T) {
+	var buf bytes.Buffer
+	for _, f := range []*wire.AnswerFrame{
+		{Kind: &wire.AnswerFrame_Head{Head: &wire.AnswerHead{Outcome: wire.Outcome_OUTCOME_ANSWERED}}},
+		{Kind: &wire.AnswerFrame_Data{Data: &wire.Data{Chunk: []byte("b")}}},
+		{Kind: &wire.AnswerFrame_End{End: &wire.AnswerEnd{BodyBytes: 1, BodyHash: xxhash.Sum64String("a")}}},
+	} {
+		protodelim.MarshalTo(&buf, f)
+	}
+	if _, _, err := readAnswer(buf.Bytes()); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func FuzzReadMessage(f *testing.F) {
+	valid, _ := encodeRequest(&wire.StreamHead{Kind: &wire.StreamHead_Withdraw{Withdraw: &wire.Withdraw{}}}, []byte("body"))
+	f.Add(valid)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		br := bufio.NewReader(bytes.NewReader(data))
+		var head wire.StreamHead
+		if err := readMessage(br, &head); err != nil {
+			return
+		}
+		body, err := readBody(br, int(head.GetCall().GetBodyBytes()), maxFrameBytes)
+		if err == nil && len(body) != int(head.GetCall().GetBodyBytes()) {
+			t.Fatalf("body of %d bytes", len(body))
+		}
+	})
+}
