--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: build check test race demo bench generate clean
+.PHONY: build check test race demo bench capacity soak generate clean
 
 build:
 	$(GO) build -o $(BIN)/ ./apps/...
@@ -22,6 +22,12 @@
 bench: build
 	scripts/bench.sh
 
+capacity: build
+	scripts/capacity.sh
+
+soak: build
+	scripts/soak.sh
+
 generate:
 	$(GO) build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=github.com/dogwoodhatch/dogwoodhatch wire/*.proto
