--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dogwoodhatch/dogwoodhatch/bytelimit"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
@@ -22,7 +23,7 @@
 	phase  phase
 	cursor uint32
 	next   time.Time
-	pull   budget
+	pull   bytelimit.Bucket
 	flight flight
 	leaves []uint32 // leaves that differ from those of peer
 	peer   *entry
@@ -63,7 +64,7 @@
 // exchangeRoom returns the size that an exchange message may have now, or 0 if
 // it has to wait.
 func (t *Table) exchangeRoom(now time.Time) int {
-	room := t.out.room(now) - exchangeOverhead
+	room := t.out.Room(now) - bytelimit.ExchangeOverhead
 	if room < minExchangeRoom {
 		return 0
 	}
@@ -74,7 +75,7 @@
 const maxLeavesPerExchange = 128
 
 func (s *syncer) init(t *Table, now time.Time) {
-	s.pull = newBudget(t.cfg.PullBytesPerSecond, t.cfg.BurstBytes, now)
+	s.pull = bytelimit.New(t.cfg.PullBytesPerSecond, t.cfg.BurstBytes, now)
 	s.next = now
 	s.phase = phasePages
 	if len(t.cfg.Interests) > 0 {
@@ -94,7 +95,7 @@
 		return Member{}, nil, false
 	}
 	room := t.exchangeRoom(now)
-	if s.pull.room(now) <= 0 || room == 0 {
+	if s.pull.Room(now) <= 0 || room == 0 {
 		return Member{}, nil, false
 	}
 	e, kind := t.nextExchange()
@@ -220,8 +221,8 @@
 	}
 	s.flight = flight{}
 	t.lastHeard = now
-	s.pull.room(now)
-	s.pull.spend(len(payload) + exchangeOverhead)
+	s.pull.Room(now)
+	s.pull.Spend(len(payload) + bytelimit.ExchangeOverhead)
 	if reply.Busy {
 		s.next = now.Add(jitter(t.rng, retryInterval))
 		return nil
@@ -343,9 +344,9 @@
 
 // spendExchange takes an exchange message out of the budget.
 func (t *Table) spendExchange(n int, now time.Time) {
-	t.out.room(now)
-	t.out.spend(n + exchangeOverhead)
-	t.stats.BytesSent += uint64(n + exchangeOverhead)
+	t.out.Room(now)
+	t.out.Spend(n + bytelimit.ExchangeOverhead)
+	t.stats.BytesSent += uint64(n + bytelimit.ExchangeOverhead)
 }
 
 // fillPage adds the records of the leaves from the cursor on, up to room bytes.
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dogwoodhatch/dogwoodhatch/bytelimit"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
@@ -15,7 +16,7 @@
 	msg.From = t.self.ID
 	size := proto.Size(msg)
 	room := t.cfg.MaxPacketBytes - size
-	budget := t.out.room(now) - size - headerBytes
+	budget := t.out.Room(now) - size - bytelimit.DatagramOverhead
 	reserve := t.cfg.ReserveBytes - max(0, budget-room)
 	msg.Events = append(msg.Events, t.queue.take(min(room, budget), max(0, reserve))...)
 	return t.seal(to, msg, now)
@@ -25,10 +26,10 @@
 func (t *Table) seal(to string, msg *wire.GossipPacket, now time.Time) Packet {
 	msg.From = t.self.ID
 	payload := encode(msg)
-	t.out.room(now)
-	t.out.spend(len(payload) + headerBytes)
+	t.out.Room(now)
+	t.out.Spend(len(payload) + bytelimit.DatagramOverhead)
 	t.stats.PacketsSent++
-	t.stats.BytesSent += uint64(len(payload) + headerBytes)
+	t.stats.BytesSent += uint64(len(payload) + bytelimit.DatagramOverhead)
 	return Packet{To: to, Payload: payload}
 }
 
@@ -60,7 +61,7 @@
 
 // canPush reports whether events wait that the budget allows to push.
 func (t *Table) canPush(now time.Time) bool {
-	room := t.out.room(now)
+	room := t.out.Room(now)
 	if t.queue.waiting[urgent] == 0 {
 		room -= t.cfg.ReserveBytes
 	}
@@ -79,7 +80,7 @@
 			delete(t.queue.cross, region)
 			continue
 		}
-		room := min(t.cfg.MaxPacketBytes-minPushRoom, t.out.room(now))
+		room := min(t.cfg.MaxPacketBytes-minPushRoom, t.out.Room(now))
 		records := t.queue.takeCross(region, room)
 		if len(records) == 0 {
 			continue
@@ -142,7 +143,7 @@
 // record of this node gets the current one. Answers go on somewhat beyond the
 // byte budget, but not to all of a backlog after a pause.
 func (t *Table) ack(from string, msg *wire.GossipPacket, sender *entry, now time.Time) []Packet {
-	if t.out.room(now) <= -maxAckDebt {
+	if t.out.Room(now) <= -maxAckDebt {
 		return nil
 	}
 	ack := &wire.GossipPacket{
@@ -169,7 +170,7 @@
 
 // introduce sends the own record to a peer that does not know this node.
 func (t *Table) introduce(from string, msg *wire.GossipPacket, sender *entry, now time.Time) []Packet {
-	if !msg.UnknownSender || t.out.room(now) <= 0 {
+	if !msg.UnknownSender || t.out.Room(now) <= 0 {
 		return t.correct(from, sender, now)
 	}
 	push := &wire.GossipPacket{
@@ -181,7 +182,7 @@
 
 // correct tells a sender that it was declared dead, so that it can refute.
 func (t *Table) correct(from string, sender *entry, now time.Time) []Packet {
-	if sender == nil || sender.State != Dead || t.out.room(now) <= 0 {
+	if sender == nil || sender.State != Dead || t.out.Room(now) <= 0 {
 		return nil
 	}
 	push := &wire.GossipPacket{
--- a/membership/join.go
+++ b/membership/join.go
@@ -62,13 +62,13 @@
 // members, first of the joiner's region. Without budget the joiner has to ask
 // again.
 func (t *Table) welcome(from string, msg *wire.GossipPacket, now time.Time) []Packet {
-	if t.out.room(now) <= 0 {
+	if t.out.Room(now) <= 0 {
 		return nil
 	}
 	push := &wire.GossipPacket{Kind: wire.PacketKind_PACKET_KIND_PUSH}
 	push.Events = append(push.Events, fullRecord(t.self))
 	size := proto.Size(push) + len(t.self.ID) + recordMargin
-	room := min(t.cfg.MaxPacketBytes, t.out.room(now)/welcomeShare) - size
+	room := min(t.cfg.MaxPacketBytes, t.out.Room(now)/welcomeShare) - size
 	joiner := t.index.byID[msg.From]
 	ok := func(e *entry) bool { return e != t.self && e != joiner && e.State == Alive }
 	for _, e := range t.sample(joiner, ok) {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -140,7 +140,7 @@
 	if addr == t.self.GossipAddr {
 		return t.ack(from, msg, t.index.byID[msg.From], now), nil
 	}
-	if len(p.relays) >= maxRelays || t.out.room(now) <= -maxAckDebt {
+	if len(p.relays) >= maxRelays || t.out.Room(now) <= -maxAckDebt {
 		return nil, nil
 	}
 	p.seq++
@@ -226,7 +226,7 @@
 		return nil
 	}
 	t.nextRevive = now.Add(jitter(t.rng, t.cfg.ReviveInterval))
-	if len(t.index.tombstones) == 0 || t.out.room(now) <= 0 {
+	if len(t.index.tombstones) == 0 || t.out.Room(now) <= 0 {
 		return nil
 	}
 	e := t.index.tombstones[t.rng.IntN(len(t.index.tombstones))]
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/dogwoodhatch/dogwoodhatch/bytelimit"
 )
 
 const (
@@ -104,7 +106,7 @@
 				continue
 			}
 			if to := s.byAddr[p.To]; to != nil && to.self.Region != n.self.Region {
-				s.cross += uint64(len(p.Payload) + headerBytes)
+				s.cross += uint64(len(p.Payload) + bytelimit.DatagramOverhead)
 			}
 			at := s.step + 1 + s.rng.IntN(3)
 			s.due[at] = append(s.due[at], simPacket{n.self.GossipAddr, p.To, p.Payload})
@@ -121,7 +123,7 @@
 		to.inbox = append(to.inbox, p)
 		return
 	}
-	to.received += uint64(len(p.payload) + headerBytes)
+	to.received += uint64(len(p.payload) + bytelimit.DatagramOverhead)
 	packets, err := to.Handle(p.from, p.payload, s.now)
 	if err != nil {
 		s.t.Fatal(err)
@@ -143,10 +145,10 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	to.received += uint64(len(payload) + exchangeOverhead)
-	n.received += uint64(len(reply) + exchangeOverhead)
+	to.received += uint64(len(payload) + bytelimit.ExchangeOverhead)
+	n.received += uint64(len(reply) + bytelimit.ExchangeOverhead)
 	if to.self.Region != n.self.Region {
-		s.cross += uint64(len(payload) + len(reply) + 2*exchangeOverhead)
+		s.cross += uint64(len(payload) + len(reply) + 2*bytelimit.ExchangeOverhead)
 	}
 	if err := n.ExchangeReply(peer.ID, reply, s.now); err != nil {
 		s.t.Fatal(err)
--- a/membership/suspicion.go
+++ b/membership/suspicion.go
@@ -114,7 +114,7 @@
 		if now.Sub(e.suspicion.start) < wait {
 			continue
 		}
-		if e.suspicion.asked.IsZero() && t.out.room(now) > t.cfg.ReserveBytes {
+		if e.suspicion.asked.IsZero() && t.out.Room(now) > t.cfg.ReserveBytes {
 			e.suspicion.asked = now
 			packets = append(packets, t.ping(e, 0, now))
 			continue
--- a/membership/table.go
+++ b/membership/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/dogwoodhatch/dogwoodhatch/bytelimit"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 )
 
@@ -34,7 +35,7 @@
 	self    *entry
 	index   *index
 	queue   *queue
-	out     budget
+	out     bytelimit.Bucket
 	prober  prober
 	syncer  syncer
 	joiner  joiner
@@ -64,7 +65,7 @@
 		rng:        rng,
 		index:      newIndex(),
 		queue:      newQueue(),
-		out:        newBudget(cfg.BytesPerSecond, cfg.BurstBytes, now),
+		out:        bytelimit.New(cfg.BytesPerSecond, cfg.BurstBytes, now),
 		suspects:   map[string]*entry{},
 		lastTick:   now,
 		lastHeard:  now,
--- a/plugin/gossip/gossip.go
+++ b/plugin/gossip/gossip.go
@@ -17,6 +17,10 @@
 	topic           = "membership"
 	tickInterval    = 100 * time.Millisecond
 	exchangeTimeout = 3 * time.Second
+
+	// viewCostFactor is the least ratio of the time between two views to the
+	// time that one takes; copying 30,000 members takes some 20 ms.
+	viewCostFactor = 20
 )
 
 // gossip is the plug-in. table belongs to the control goroutine.
@@ -28,6 +32,7 @@
 	contacts []string
 	cancel   context.CancelFunc
 	view     atomic.Pointer[view]
+	nextView time.Time
 }
 
 func newGossip(k *kernel.Kernel, self membership.Member, announce bool) (*gossip, error) {
@@ -78,8 +83,9 @@
 	g.send(g.table.Tick(now))
 	g.exchange(now)
 	g.logEvents()
-	if g.view.Load().version != g.table.Version() {
+	if g.view.Load().version != g.table.Version() && !now.Before(g.nextView) {
 		g.publish()
+		g.nextView = time.Now().Add(viewCostFactor * time.Since(now))
 	}
 }
 
--- a/spread/digest.go
+++ b/spread/digest.go
@@ -58,7 +58,7 @@
 	if settled || s.sync.mismatches >= maxMismatches {
 		s.sync.reconcile(msg.From)
 	}
-	if s.out.room(now) <= 0 {
+	if s.out.Room(now) <= 0 {
 		return nil
 	}
 	if s.set.held > msg.Held {
--- a/spread/spreader.go
+++ b/spread/spreader.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dogwoodhatch/dogwoodhatch/bytelimit"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
@@ -54,7 +55,7 @@
 	rng   *rand.Rand
 	set   recordSet
 	beats *Heartbeats
-	out   budget
+	out   bytelimit.Bucket
 	sync  syncer
 	stats Stats
 
@@ -74,7 +75,7 @@
 		rng:        rng,
 		set:        newRecordSet(),
 		beats:      NewHeartbeats(self.Domain, rng),
-		out:        newBudget(cfg.BytesPerSecond, cfg.BurstBytes, now),
+		out:        bytelimit.New(cfg.BytesPerSecond, cfg.BurstBytes, now),
 		pending:    map[string]struct{}{},
 		own:        map[string]struct{}{},
 		changedAt:  now,
@@ -226,7 +227,7 @@
 // pushBeats tells some peers of the region at once that a slot changed hands,
 // so that few others claim it too.
 func (s *Spreader) pushBeats(now time.Time, peers Peers) []Message {
-	if !s.beats.fresh || s.out.room(now) <= 0 {
+	if !s.beats.fresh || s.out.Room(now) <= 0 {
 		return nil
 	}
 	s.beats.fresh = false
@@ -253,7 +254,7 @@
 func (s *Spreader) pushTo(p Peer, records []*stored, now time.Time) []Message {
 	var messages []Message
 	for len(records) > 0 {
-		if s.out.room(now) <= 0 {
+		if s.out.Room(now) <= 0 {
 			s.stats.Skipped += uint64(len(records))
 			return messages
 		}
@@ -290,15 +291,15 @@
 // seal encodes msg and takes it out of the budget.
 func (s *Spreader) seal(to string, msg *wire.SpreadPacket, now time.Time) Message {
 	payload := encode(msg)
-	s.spend(len(payload)+headerBytes, now)
+	s.spend(len(payload)+bytelimit.DatagramOverhead, now)
 	s.stats.PacketsSent++
 	return Message{To: to, Payload: payload}
 }
 
 // spend takes n sent bytes out of the budget.
 func (s *Spreader) spend(n int, now time.Time) {
-	s.out.room(now)
-	s.out.spend(n)
+	s.out.Room(now)
+	s.out.Spend(n)
 	s.stats.BytesSent += uint64(n)
 }
 
--- a/spread/sync.go
+++ b/spread/sync.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dogwoodhatch/dogwoodhatch/bytelimit"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
@@ -28,7 +29,7 @@
 	compared   map[string]bool // failure domains compared since the start
 	enough     bool            // the start is over
 	next       time.Time
-	pull       budget
+	pull       bytelimit.Bucket
 	flight     syncFlight
 }
 
@@ -51,7 +52,7 @@
 func (y *syncer) init(cfg Config, now time.Time) {
 	y.wants = map[string]*want{}
 	y.compared = map[string]bool{}
-	y.pull = newBudget(cfg.PullBytesPerSecond, cfg.BurstBytes, now)
+	y.pull = bytelimit.New(cfg.PullBytesPerSecond, cfg.BurstBytes, now)
 	y.next = now
 }
 
@@ -105,7 +106,7 @@
 	if now.Before(y.next) || now.Before(y.flight.until) {
 		return Peer{}, nil, false
 	}
-	if y.pull.room(now) <= 0 || s.out.room(now) <= 0 {
+	if y.pull.Room(now) <= 0 || s.out.Room(now) <= 0 {
 		return Peer{}, nil, false
 	}
 	req := &wire.SyncRequest{From: s.self.ID}
@@ -120,7 +121,7 @@
 	}
 	payload = encode(req)
 	y.flight = syncFlight{peer: peer, until: now.Add(s.cfg.SyncTimeout), buckets: buckets}
-	s.spend(len(payload)+exchangeOverhead, now)
+	s.spend(len(payload)+bytelimit.ExchangeOverhead, now)
 	s.stats.Syncs++
 	return peer, payload, true
 }
@@ -235,8 +236,8 @@
 		return err
 	}
 	y.flight = syncFlight{}
-	y.pull.room(now)
-	y.pull.spend(len(payload) + exchangeOverhead)
+	y.pull.Room(now)
+	y.pull.Spend(len(payload) + bytelimit.ExchangeOverhead)
 	if reply.Busy {
 		s.busy(flight, now)
 		return nil
@@ -334,16 +335,16 @@
 	err := s.applyAll(req.From, req.Records, now)
 	reply := &wire.SyncReply{Floor: s.floor}
 	switch {
-	case s.out.room(now) <= 0:
+	case s.out.Room(now) <= 0:
 		reply.Busy = true
 		s.stats.BusyReplies++
 	case len(req.Buckets) == numBuckets:
 		s.listBuckets(req, reply)
 	default:
-		s.addWanted(req, reply, min(s.cfg.PageBytes, s.out.room(now)))
+		s.addWanted(req, reply, min(s.cfg.PageBytes, s.out.Room(now)))
 	}
 	b := encode(reply)
-	s.spend(len(b)+exchangeOverhead, now)
+	s.spend(len(b)+bytelimit.ExchangeOverhead, now)
 	return b, err
 }
 
--- a/spread/util.go
+++ b/spread/util.go
@@ -45,33 +45,18 @@
 // fieldSize returns the bytes msg takes in a repeated field.
 func fieldSize(msg proto.Message) int { return proto.Size(msg) + 4 }
 
-// Bytes that the lower layers add to a datagram and to an exchange.
-const (
-	headerBytes      = 28
-	exchangeOverhead = 200
-)
-
-// budget is a token bucket of bytes. Spending may leave it negative, which
-// delays later traffic.
-type budget struct {
-	rate   float64 // bytes per second
-	burst  float64
-	tokens float64
-	at     time.Time
-}
-
-func newBudget(rate, burst int, now time.Time) budget {
-	return budget{rate: float64(rate), burst: float64(burst), tokens: float64(burst), at: now}
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
-// room returns the bytes that may be sent now.
-func (b *budget) room(now time.Time) int {
-	if passed := now.Sub(b.at); passed > 0 {
-		b.tokens = min(b.burst, b.tokens+b.rate*passed.Seconds())
-		b.at = now
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return int(b.tokens)
+	return b
 }
-
-// spend takes n bytes out.
-func (b *budget) spend(n int) { b.tokens -= float64(n) }
