--- a/apps/dogwoodhatch/main.go
+++ b/apps/dogwoodhatch/main.go
@@ -97,5 +97,6 @@
 	add(c, "resolve", "Say whether a change was accepted", &resolveCommand{env: env})
 	add(parser.Command, "members", "List the members that the node knows", &membersCommand{env: env})
 	add(parser.Command, "status", "Print the state of the node", &statusCommand{env: env})
+	add(parser.Command, "traffic", "Summarize the requests that the node has carried", &trafficCommand{env: env})
 	add(parser.Command, "drain", "Begin a graceful shutdown of the node", &drainCommand{env: env})
 }
--- a/apps/dogwoodhatch/node.go
+++ b/apps/dogwoodhatch/node.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/dogwoodhatch/dogwoodhatch/adminapi"
 )
@@ -34,10 +35,24 @@
 type statusCommand struct {
 	env *environment
 	jsonOption
+	Follow bool `long:"follow" description:"print the state every two seconds until interrupted"`
 }
 
+// followInterval is the time between two states that are printed.
+const followInterval = 2 * time.Second
+
 // Execute prints the state of the node and what is in force there.
 func (c *statusCommand) Execute([]string) error {
+	err := c.once()
+	for c.Follow && err == nil {
+		time.Sleep(followInterval)
+		fmt.Fprintln(c.env.out)
+		err = c.once()
+	}
+	return err
+}
+
+func (c *statusCommand) once() error {
 	var s adminapi.Status
 	if ok, err := c.env.read(http.MethodGet, "/v1/status", c.JSON, &s); !ok {
 		return err
