--- /dev/null
+++ b/admission/controller_test.go
@@ -0,0 +1,168 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+)
+
+// In any order of calls each ticket gets exactly one verdict and, if queued,
+// exactly one action or cancellation; the queue and the limit are kept; no slot
+// stays empty while calls wait.
+func TestControllerKeepsItsInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := DefaultConfig()
+		cfg.QueueLimit = rapid.IntRange(1, 8).Draw(t, "queue")
+		cfg.InitialLimit = rapid.IntRange(1, 6).Draw(t, "limit")
+		cfg.MinLimit = 1
+		c := New(cfg, rand.New(rand.NewPCG(1, 1)), modelEpoch)
+		now := modelEpoch
+		queued := map[*Ticket]bool{}
+		var running []*Ticket
+		act := func(actions []Action) {
+			for _, a := range actions {
+				if !queued[a.Ticket] {
+					t.Fatal("action for a ticket that does not wait")
+				}
+				delete(queued, a.Ticket)
+				switch {
+				case a.Start:
+					running = append(running, a.Ticket)
+				case a.Reason == call.ReasonNone || a.RetryAfter <= 0:
+					t.Fatalf("refusal without reason or time: %+v", a)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 9).Draw(t, "op") {
+			case 0, 1, 2, 3:
+				n := drawTicket(t)
+				v, actions := c.Offer(n, now)
+				for _, a := range actions {
+					if a.Reason == call.ReasonQueueFull && a.Ticket.Priority < n.Priority {
+						t.Fatal("a lesser call displaced a more important one")
+					}
+				}
+				act(actions)
+				switch v.Kind {
+				case Run:
+					running = append(running, n)
+				case Queued:
+					queued[n] = true
+				case Refused:
+					if v.Reason == call.ReasonNone || v.RetryAfter <= 0 {
+						t.Fatalf("refusal without reason or time: %+v", v)
+					}
+				}
+			case 4, 5, 6:
+				if len(running) > 0 {
+					n := running[0]
+					running = running[1:]
+					s := Sample{
+						Latency: time.Duration(rapid.IntRange(1, 500).Draw(t, "latency")) * time.Millisecond,
+						Shed:    rapid.IntRange(0, 9).Draw(t, "shed") == 0,
+						Failed:  rapid.IntRange(0, 9).Draw(t, "failed") == 0,
+					}
+					act(c.Done(n, s, now))
+					if c.Done(n, s, now) != nil {
+						t.Fatal("a second Done has an effect")
+					}
+				}
+			case 7:
+				for n := range queued {
+					delete(queued, n)
+					act(c.Cancel(n, now))
+					break
+				}
+			case 8:
+				act(c.Tick(now))
+			case 9:
+				if rapid.IntRange(0, 9).Draw(t, "leave") == 0 {
+					act(c.Leave(now))
+				} else {
+					c.Hint(rapid.IntRange(-1, 50).Draw(t, "slots"), now)
+					act(c.Tick(now))
+				}
+			}
+			p := c.Pressure(now)
+			if p.InFlight != len(running) || p.Queued != len(queued) {
+				t.Fatalf("pressure %+v with %d running and %d queued", p, len(running), len(queued))
+			}
+			if p.Queued > cfg.QueueLimit || p.Limit < 1 {
+				t.Fatalf("pressure %+v", p)
+			}
+		}
+		act(c.Tick(now))
+		if p := c.Pressure(now); p.Queued > 0 && p.InFlight < p.Limit {
+			t.Fatalf("calls wait although slots are free: %+v", p)
+		}
+		act(c.Leave(now))
+		if len(queued) > 0 {
+			t.Fatalf("%d calls still wait after Leave", len(queued))
+		}
+	})
+}
+
+func TestRetryAfterGrowsWithDelayAndIsJittered(t *testing.T) {
+	c := New(DefaultConfig(), rand.New(rand.NewPCG(1, 1)), modelEpoch)
+	seen := map[time.Duration]bool{}
+	mean := func() time.Duration {
+		var sum time.Duration
+		for range 200 {
+			d := c.retryAfter(call.PriorityLow, modelEpoch)
+			seen[d] = true
+			sum += d
+		}
+		return sum / 200
+	}
+	idle := mean()
+	for range 100 {
+		c.Offer(&Ticket{Deadline: modelEpoch.Add(time.Minute)}, modelEpoch)
+	}
+	if busy := mean(); busy < 2*idle {
+		t.Errorf("asked to wait %v when idle and %v when 100 calls wait", idle, busy)
+	}
+	if len(seen) < 300 {
+		t.Errorf("only %d different times", len(seen))
+	}
+}
+
+func TestRampAfterRestart(t *testing.T) {
+	after := func(cfg Config, age time.Duration) (before, limit int) {
+		m := newModel(backendSizes[2], 1).run(cfg, 1, causeStart)
+		before = m.ctl.Pressure(m.clock()).Limit
+		m.ctl.Restart(m.clock())
+		return before, m.ctl.Pressure(m.clock().Add(age)).Limit
+	}
+	if before, limit := after(DefaultConfig(), 0); limit > before/3 {
+		t.Errorf("limit %d at a restart, %d before", limit, before)
+	}
+	if before, limit := after(DefaultConfig(), DefaultConfig().RampDuration); limit < before {
+		t.Errorf("limit %d after the ramp, %d before", limit, before)
+	}
+	off := DefaultConfig()
+	off.Disabled.Ramp = true
+	if before, limit := after(off, 0); limit < before {
+		t.Errorf("limit %d without ramp, %d before", limit, before)
+	}
+}
+
+// When all backend servers of a service are new, the calls have no other place.
+func TestRampYieldsToDemand(t *testing.T) {
+	m := newModel(backendSizes[2], 0.8)
+	m.each = func() {
+		if m.now == causeStart {
+			m.ctl.Restart(m.clock())
+		}
+	}
+	m.run(DefaultConfig(), 1, modelEnd)
+	before := m.goodput(causeStart-5*time.Second, causeStart)
+	if got := m.goodput(causeStart+2*time.Second, causeStart+4*time.Second); got < 0.9*before {
+		t.Errorf("goodput %.0f/s two seconds after a restart, %.0f/s before", got, before)
+	}
+}
