--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -166,3 +166,23 @@
 		t.Errorf("goodput %.0f/s two seconds after a restart, %.0f/s before", got, before)
 	}
 }
+
+// A baseline that is measured at saturation only would rise with the limit.
+func TestLimitDoesNotDriftUnderLongOverload(t *testing.T) {
+	size := backendSizes[1]
+	for seed := range uint64(3) {
+		m := newModel(size, 4)
+		sum, n := 0, 0
+		m.fixed = true
+		m.each = func() {
+			if m.now > 30*time.Second {
+				sum += m.ctl.Pressure(m.clock()).Limit
+				n++
+			}
+		}
+		m.run(DefaultConfig(), seed, time.Minute)
+		if mean := sum / n; mean < size.slots || mean > 2*size.slots {
+			t.Errorf("seed %d: the limit is %d on average, for %d slots", seed, mean, size.slots)
+		}
+	}
+}
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -53,6 +53,7 @@
 	slow         func(class string, at time.Duration) float64 // factor on the service time
 	thrash       float64                                      // slowdown per call beyond the slots
 	keepsWork    bool                                         // goes on with calls whose caller gave up
+	fixed        bool                                         // all calls take the mean service time
 	retryHard    bool                                         // callers come back 50 ms after any failure
 	each         func()                                       // called at each tick
 
@@ -228,7 +229,11 @@
 }
 
 func (m *model) serviceTime(k *modelCall) time.Duration {
-	f := m.rng.ExpFloat64() * (1 + m.thrash*float64(len(m.inside)))
+	f := 1.0
+	if !m.fixed {
+		f = m.rng.ExpFloat64()
+	}
+	f *= (1 + m.thrash*float64(len(m.inside)))
 	if m.slow != nil {
 		f *= m.slow(k.class.name, m.now)
 	}
