--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -166,6 +166,7 @@
     echo
     echo "Whole answers in time per second against offered load, as a multiple of the capacity of $capacity requests a second."
     echo "The bound is what the deep service (${deep[$1]}) can execute of the critical classes (${critical[$1]// /, })."
+    echo "Answers that come in time after the last arrival count too, so that at high load a queue that is worked off afterwards can exceed the bound."
     conditions
     echo "$heads |"
     sed -E 's/[^|]+/---:/g' <<<"$heads |"
