--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -6,6 +6,7 @@
 #
 #   CAPACITY_NODES   sizes of the fleets, by default "50 100 200 400"
 #   CAPACITY_TABLE   file for the table, by default bench/capacity.md
+#   CAPACITY_APPEND  1 adds rows to the table instead of beginning it anew
 #   CAPACITY_IDLE    seconds of the measurement without changes
 #   CAPACITY_CHANGES profile changes, one a second
 set -euo pipefail
@@ -267,7 +268,7 @@
   stop_fleet || echo "capacity nodes=$size: a process needed force or ended with a fault (one was killed on purpose)" >&2
 }
 
-write_head
+[[ ${CAPACITY_APPEND:-0} == 1 && -s $table ]] || write_head
 for size in $sizes; do
   prepare
   measure_fleet "$size"
