--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -89,9 +89,18 @@
 
 seen_by_all() { (($(seen "$1") == ${#observers[@]})); }
 
-# all_joined tells whether every node has logged every other.
+# all_joined tells whether every node has logged every other. A node may hear of
+# a member first as suspected or dead, and then of its recovery.
 all_joined() {
-  logs | xargs grep -cE 'event=member_joined' | awk -F: -v want="$((size - 1))" '$NF < want { exit 1 }'
+  local name
+  for name in "${observers[@]}"; do
+    (($(sed -nE 's/.*event=member_(joined|recovered) member=([^ ]*) .*/\2/p' "$run_dir/$name.log" | sort -u | wc -l) >= size - 1)) || return 1
+  done
+}
+
+# false_deaths counts the members that some node declared dead though they ran.
+false_deaths() {
+  logs | xargs grep -hE 'event=member_dead' | sed -E 's/.*member=([^ ]*) .*/\1/' | sort -u | wc -l
 }
 
 # last_time PATTERN prints when the last observer first logged a line with it, as
@@ -223,7 +232,7 @@
   local key
   printf '|'
   for key in nodes load_average idle_sent idle_received idle_exchanged idle_worst idle_cpu idle_busy memory_mb memory_worst_mb idle_store \
-    change_sent change_received change_exchanged change_worst change_cpu change_busy change_store join_s leave_s death_s profile_s withdrawal_s; do
+    change_sent change_received change_exchanged change_worst change_cpu change_busy change_store join_s leave_s death_s profile_s withdrawal_s false_deaths; do
     printf ' %s |' "$(field "$key" "$line")"
   done
   printf '\n'
@@ -238,10 +247,11 @@
 $nodes_per_service nodes to a service, no calls, one stand-in store. B/s are the mean over all nodes, payload of the datagrams without IP and UDP headers;
 "exchanged" counts both ends' requests and answers over TCP; "worst" is the node that sent most in datagrams. Processor time is the whole
 process, "control" the control goroutine alone, both in percent of one core for one node. Changes are one a second over $changes s. Times
-are from the act until the last node has logged the news, in seconds. Load average is that of the machine, which others share, when the row began.
+are from the act until the last node has logged the news, in seconds. False deaths are members that some node declared dead though they ran, from the start to
+the end of the changes. Load average is that of the machine, which others share, when the row began.
 
-| nodes | load | idle: sent | received | exchanged | worst | processor % | control % | memory MB | most MB | store calls/s | changes: sent | received | exchanged | worst | processor % | control % | store calls/s | join s | leave s | death s | profile s | withdrawal s |
-|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
+| nodes | load | idle: sent | received | exchanged | worst | processor % | control % | memory MB | most MB | store calls/s | changes: sent | received | exchanged | worst | processor % | control % | store calls/s | join s | leave s | death s | profile s | withdrawal s | false deaths |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
 END
 }
 
@@ -262,6 +272,7 @@
   read -r mean most <<<"$(memory)"
   line+=" memory_mb=$mean memory_worst_mb=$most"
   measure change change_profiles
+  line+=" false_deaths=$(false_deaths)"
   measure_news
   echo "capacity $line"
   row >>"$table"
