--- a/apps/dogwoodhatch-node/main.go
+++ b/apps/dogwoodhatch-node/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -16,7 +17,12 @@
 // exitUsage is the status for faults of the command line or the settings.
 const exitUsage = 2
 
+// memoryLimit is the size in bytes towards which the garbage collector works. The
+// node shares its VM with a backend server.
+const memoryLimit = 48 << 20
+
 func main() {
+	debug.SetMemoryLimit(memoryLimit)
 	var opts struct {
 		Config string `short:"c" long:"config" required:"true" value-name:"FILE" description:"settings file (INI)"`
 	}
--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -29,6 +29,9 @@
 	Members(service string) []membership.Member
 	// All returns every known member; the slice must not be changed.
 	All() []membership.Member
+	// Lookup returns a member by its id. It must be called on the control
+	// goroutine.
+	Lookup(id string) (membership.Member, bool)
 	// Announce tells the fleet which service the backend server beside this
 	// node runs; "" withdraws the announcement.
 	Announce(service string)
--- a/membership/codec.go
+++ b/membership/codec.go
@@ -2,12 +2,12 @@
 
 import (
 	"net/netip"
+	"unique"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
+	"google.golang.org/protobuf/proto"
 )
 
 // maxExtraBytes limits the unknown fields kept for one record.
@@ -83,9 +83,9 @@
 func decodeMember(r *wire.MemberRecord) (Member, error) {
 	m := Member{
 		ID:          r.Id,
-		Region:      r.Region,
-		Domain:      r.Domain,
-		Service:     r.Service,
+		Region:      intern(r.Region),
+		Domain:      intern(r.Domain),
+		Service:     intern(r.Service),
 		State:       State(r.State),
 		Incarnation: r.Incarnation,
 		Version:     r.Version,
@@ -103,6 +103,10 @@
 	return m, m.Validate()
 }
 
+// intern returns a string that equal ones share, since thousands of members have
+// the same region, failure domain or service.
+func intern(s string) string { return unique.Make(s).Value() }
+
 // decode unmarshals b into msg, or returns an error of kind errs.Invalid.
 func decode(b []byte, msg proto.Message) error {
 	if err := proto.Unmarshal(b, msg); err != nil {
--- a/membership/table.go
+++ b/membership/table.go
@@ -117,6 +117,19 @@
 	return members
 }
 
+// Live returns the number of members that are not gone.
+func (t *Table) Live() int { return t.index.live }
+
+// Each calls f for each member that is not gone, in no particular order. f must
+// not keep the pointer.
+func (t *Table) Each(f func(*Member)) {
+	for _, list := range t.index.regions {
+		for _, e := range list {
+			f(&e.Member)
+		}
+	}
+}
+
 // Lookup returns a member or a tombstone by its id.
 func (t *Table) Lookup(id string) (Member, bool) {
 	e := t.index.byID[id]
--- a/plugin/config/config.go
+++ b/plugin/config/config.go
@@ -80,6 +80,7 @@
 
 // Start implements kernel.Plugin.
 func (c *config) Start(context.Context) error {
+	c.peers = peers{fleet: c.k.Fleet, self: c.k.NodeID}
 	go c.tick()
 	return nil
 }
@@ -114,11 +115,11 @@
 // onTick runs on the control goroutine.
 func (c *config) onTick() {
 	now := time.Now()
-	c.peers.refresh(c.k.Fleet, c.k.NodeID)
+	c.peers.refresh(now)
 	c.send(c.spreader.Tick(now, &c.peers))
 	c.exchange(now)
 	if c.client != nil {
-		view := spread.View{Peers: c.peers.count(), Domain: func() []string { return c.peers.domain(c.k.Settings.Node.FailureDomain, c.k.NodeID) }}
+		view := spread.View{Peers: c.peers.count(), Domain: func() []string { return c.peers.domain(c.k.Settings.Node.FailureDomain) }}
 		c.run(c.contacts.Tick(now, view))
 	}
 	c.applyChanges()
--- a/plugin/config/peers.go
+++ b/plugin/config/peers.go
@@ -3,52 +3,66 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
 	"github.com/dogwoodhatch/dogwoodhatch/spread"
 )
 
-// peers implements spread.Peers over the membership.
+// peers implements spread.Peers over the membership. It holds positions in the
+// view of the fleet and no copies of members.
 type peers struct {
+	fleet   kernel.Fleet
+	self    string
 	version uint64
-	regions map[string][]spread.Peer
-	names   []string
-	byID    map[string]spread.Peer
+	view    []membership.Member
+	regions map[string][]int32 // positions in view
+	names   []string           // of the regions
+	next    time.Time          // earliest time of the next refresh
 }
 
-// refresh rebuilds the index when the membership has changed.
-func (p *peers) refresh(fleet kernel.Fleet, self string) {
-	version := fleet.Version()
-	if p.byID != nil && p.version == version {
+// refreshCostFactor is the least ratio of the time between two refreshes to the
+// time that one takes.
+const refreshCostFactor = 20
+
+// refresh indexes the view anew when the membership has changed.
+func (p *peers) refresh(now time.Time) {
+	version := p.fleet.Version()
+	if p.view != nil && (p.version == version || now.Before(p.next)) {
 		return
 	}
 	p.version = version
-	p.regions = map[string][]spread.Peer{}
-	p.byID = map[string]spread.Peer{}
-	for _, m := range fleet.All() {
-		if m.ID == self || m.State == membership.Left || m.State == membership.Dead {
-			continue
+	p.view = p.fleet.All()
+	p.regions = map[string][]int32{}
+	for i := range p.view {
+		if m := &p.view[i]; m.ID != p.self {
+			p.regions[m.Region] = append(p.regions[m.Region], int32(i))
 		}
-		peer := spread.Peer{ID: m.ID, Addr: m.Addr, GossipAddr: m.GossipAddr, Region: m.Region, Domain: m.Domain}
-		p.regions[m.Region] = append(p.regions[m.Region], peer)
-		p.byID[m.ID] = peer
 	}
 	p.names = p.names[:0]
 	for name := range p.regions {
 		p.names = append(p.names, name)
 	}
 	slices.Sort(p.names)
+	p.next = now.Add(refreshCostFactor * time.Since(now))
 }
 
-func (p *peers) count() int { return len(p.byID) }
+// count returns the number of other members.
+func (p *peers) count() int {
+	n := 0
+	for _, list := range p.regions {
+		n += len(list)
+	}
+	return n
+}
 
 // domain returns the ids of the live nodes of a failure domain and self.
-func (p *peers) domain(name, self string) []string {
-	ids := []string{self}
-	for _, peer := range p.byID {
-		if peer.Domain == name {
-			ids = append(ids, peer.ID)
+func (p *peers) domain(name string) []string {
+	ids := []string{p.self}
+	for i := range p.view {
+		if m := &p.view[i]; m.Domain == name && m.ID != p.self {
+			ids = append(ids, m.ID)
 		}
 	}
 	return ids
@@ -66,11 +80,15 @@
 	n = min(n, len(list))
 	picked := make([]spread.Peer, 0, n)
 	for _, i := range pickIndexes(len(list), n) {
-		picked = append(picked, list[i])
+		picked = append(picked, peerOf(&p.view[list[i]]))
 	}
 	return picked
 }
 
+func peerOf(m *membership.Member) spread.Peer {
+	return spread.Peer{ID: m.ID, Addr: m.Addr, GossipAddr: m.GossipAddr, Region: m.Region, Domain: m.Domain}
+}
+
 // pickIndexes returns k distinct random numbers below n, in time O(k^2), after
 // Bentley and Floyd, A Sample of Brilliance, 1987.
 func pickIndexes(n, k int) []int {
@@ -87,6 +105,9 @@
 
 // Lookup implements spread.Peers.
 func (p *peers) Lookup(id string) (spread.Peer, bool) {
-	peer, ok := p.byID[id]
-	return peer, ok
+	m, ok := p.fleet.Lookup(id)
+	if !ok || id == p.self || m.State == membership.Left || m.State == membership.Dead {
+		return spread.Peer{}, false
+	}
+	return peerOf(&m), true
 }
