Nodes that start through the same few contacts agree

Cause: a node that got a busy reply asked again each second, and each busy reply costs 200 B of the contact's 1,500 B/s, so that some seven askers used all of it up. The wait now doubles up to 15 s. Ruled out: more budget for the contacts (the limit is 4 KB/s) and answers to probes beyond the budget (no agreement either).

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -29,6 +29,16 @@
 	peer   *entry
 
 	partial int // answers to interests from peers that are starting too
+	busy    int // busy replies since the last other one
+}
+
+// busyWait returns how long to wait after a busy reply. It doubles with each:
+// the reply itself costs the peer, and many nodes that ask the same few contacts
+// at a start would otherwise use up its budget by their asking alone.
+func (s *syncer) busyWait() time.Duration {
+	wait := min(retryInterval<<min(s.busy, maxBusyDoublings), maxBusyWait)
+	s.busy++
+	return wait
 }
 
 // maxPartial is the number of peers that are starting too which a node asks for
@@ -54,8 +64,11 @@
 // Waits between exchanges.
 const (
 	pageInterval  = 200 * time.Millisecond  // between pages and leaves, if the budget allows
-	retryInterval = 1000 * time.Millisecond // after a failed or busy exchange
-	diffShare     = 4                       // the next comparison comes this much sooner after a difference
+	retryInterval = 1000 * time.Millisecond // after a failed exchange or the first busy reply
+	maxBusyWait   = 15 * time.Second        // after further busy replies
+
+	maxBusyDoublings = 5
+	diffShare        = 4 // the next comparison comes this much sooner after a difference
 )
 
 // minExchangeRoom is the budget below which no exchange is started or answered.
@@ -224,9 +237,10 @@
 	s.pull.Room(now)
 	s.pull.Spend(len(payload) + bytelimit.ExchangeOverhead)
 	if reply.Busy {
-		s.next = now.Add(jitter(t.rng, retryInterval))
+		s.next = now.Add(jitter(t.rng, s.busyWait()))
 		return nil
 	}
+	s.busy = 0
 	src := fromExchange
 	if kind == askPage {
 		src = fromPage
--- a/membership/faults_test.go
+++ b/membership/faults_test.go
@@ -315,3 +315,22 @@
 }
 
 func phantomID(i int) string { return fmt.Sprintf("%016x", i) }
+
+// TestStartThroughTheSameContacts starts nodes that all know the same three
+// contacts, as settings and leased slots give them.
+func TestStartThroughTheSameContacts(t *testing.T) {
+	for _, n := range []int{50, 100} {
+		s := newSim(t, 11, DefaultConfig())
+		s.fleet(3, 3)
+		var contacts []string
+		for _, c := range s.nodes {
+			contacts = append(contacts, c.self.GossipAddr)
+		}
+		for i := 3; i < n; i++ {
+			region := fmt.Sprintf("r%d", i%3)
+			s.start(region, fmt.Sprintf("%s-d%d", region, i/3%2), fmt.Sprintf("svc%d", i/6%4), contacts...)
+			s.run(simStep)
+		}
+		t.Logf("%d nodes agreed %v after the last start", n, s.until(2*time.Minute, s.agreed))
+	}
+}
