--- a/retry/decide.go
+++ b/retry/decide.go
@@ -70,13 +70,20 @@
 	if !share.Take() {
 		return Decision{Rule: RuleAllowance}
 	}
-	if !b.Withdraw(now) {
+	if !exempt(res) && !b.Withdraw(now) {
 		share.untake()
 		return Decision{Rule: RuleBudget}
 	}
 	return Decision{Retry: true, Delay: delay, Rule: RuleRetry}
 }
 
+// exempt reports whether a retry needs no budget. A leaving member refuses all
+// that it had queued at once, without having worked for it; sending these calls
+// to other members adds no load to the service.
+func exempt(res call.Result) bool {
+	return res.Outcome == call.Refused && res.Reason == call.ReasonLeaving
+}
+
 // finalRule returns why res is final, or "" if it may be retried.
 func finalRule(res call.Result, idempotent bool) string {
 	switch res.Outcome {
