Purchases go on while a dead holder is still listed

Cause: a holder that does not answer denies the key, because it may live beyond a cut. A refused connection shows that its process has ended, so the other holder's proof is enough. Ruled out: any unreachable holder counted as gone (both sides of a cut would grant the key). Test: 20 purchases right after one of two holders was killed; before, they end unknown, now 20 whole, and the older key is still known.

--- a/e2e/failure_test.go
+++ b/e2e/failure_test.go
@@ -429,3 +429,32 @@
 		t.Errorf("second submission: %v, executed %d times", r, executed)
 	}
 }
+
+// TestPurchasesGoOnAfterAHolderDied kills one of the two nodes that hold every
+// key. The other one proves that a key is new, and still knows the old one.
+func TestPurchasesGoOnAfterAHolderDied(t *testing.T) {
+	p := newPair(t, "", "--service-time", "5ms")
+	time.Sleep(6 * time.Second)
+	buy := func(id string, key uuid.UUID) result {
+		headers := map[string]string{"Idempotency-Key": key.String()}
+		return p.entry.call("rates", callOptions{method: http.MethodPost, path: "/buy/x", id: id, headers: headers})
+	}
+	before := uuid.Must(uuid.NewV7())
+	if r := buy("before", before); !whole(r) {
+		t.Fatalf("before the death: %v", r)
+	}
+	p.member[0].kill()
+	for i := range 20 {
+		if r := buy(fmt.Sprintf("after%d", i), uuid.Must(uuid.NewV7())); !whole(r) {
+			t.Errorf("purchase %d after the death: %v", i, r)
+		}
+	}
+	if r := buy("before", before); r.outcome != "unknown" {
+		t.Errorf("resend: %v", r)
+	}
+	for id, n := range p.executions() {
+		if strings.HasPrefix(id, "after") && n != 1 || id == "before" && n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
--- a/plugin/caller/claim.go
+++ b/plugin/caller/claim.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -51,7 +53,8 @@
 	return nil
 }
 
-// askHolders asks all holders at once; a holder that does not answer denies.
+// askHolders asks all holders at once. A holder that does not answer denies,
+// since it may be beyond a cut and grant the key to others there.
 func (r *request) askHolders(ctx context.Context, holders []string, addrs map[string]string) []*wire.ClaimReply {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
@@ -68,7 +71,7 @@
 		g.Go(func() error {
 			reply, err := r.c.k.Transport.Claim(ctx, addrs[id], c)
 			if err != nil {
-				reply = &wire.ClaimReply{Reason: string(call.ReasonKeyUnproved)}
+				reply = unanswered(err)
 			}
 			replies[i] = reply
 			return nil
@@ -78,6 +81,16 @@
 	return replies
 }
 
+// unanswered is the reply of a holder that did not answer. A refused connection
+// shows that the VM is reached and the process has ended: it grants nothing to
+// anybody any more, so the proof of the other holder suffices.
+func unanswered(err error) *wire.ClaimReply {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return &wire.ClaimReply{Granted: true}
+	}
+	return &wire.ClaimReply{Reason: string(call.ReasonKeyUnproved)}
+}
+
 // claimDenied ends a request whose key was not granted. A key that another
 // submission holds may have run; one that could not be proved has not run for
 // this submission, but may have for an earlier one.
