--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: build check test race demo bench capacity soak generate clean
+.PHONY: plots build check test race demo bench capacity soak generate clean
 
 build:
 	$(GO) build -o $(BIN)/ ./apps/...
@@ -25,6 +25,9 @@
 capacity: build
 	scripts/capacity.sh
 
+plots: build
+	$(BIN)/dogwoodhatch-plot --prefix critical bench/goodput-*.md
+
 soak: build
 	scripts/soak.sh
 
--- a/apps/dogwoodhatch-plot/main.go
+++ b/apps/dogwoodhatch-plot/main.go
@@ -13,8 +13,9 @@
 )
 
 type options struct {
-	Unit string `long:"unit" default:"/s" description:"ending of the headings whose columns are drawn"`
-	Args struct {
+	Prefix string `long:"prefix" description:"beginning of the headings whose columns are drawn; empty fits all"`
+	Unit   string `long:"unit" default:"/s" description:"ending of the headings whose columns are drawn"`
+	Args   struct {
 		Reports []string `positional-arg-name:"REPORT" required:"1" description:"Markdown file; the picture is written beside it as .png"`
 	} `positional-args:"yes"`
 }
@@ -28,14 +29,14 @@
 		os.Exit(2)
 	}
 	for _, path := range opts.Args.Reports {
-		if err := draw(path, opts.Unit); err != nil {
+		if err := draw(path, chart.Selection{Prefix: opts.Prefix, Unit: opts.Unit}); err != nil {
 			fmt.Fprintf(os.Stderr, "%s: %v\n", path, err)
 			os.Exit(1)
 		}
 	}
 }
 
-func draw(path, unit string) error {
+func draw(path string, sel chart.Selection) error {
 	f, err := os.Open(path)
 	if err != nil {
 		return err
@@ -45,5 +46,5 @@
 	if err != nil {
 		return err
 	}
-	return chart.Save(table, unit, strings.TrimSuffix(path, ".md")+".png")
+	return chart.Save(table, sel, strings.TrimSuffix(path, ".md")+".png")
 }
--- a/chart/chart.go
+++ b/chart/chart.go
@@ -17,30 +17,40 @@
 	height = 12 * vg.Centimeter
 )
 
-// Save draws the columns whose heading ends with unit against the first column
-// and writes the picture in the format that the ending of path names. It
-// returns an error of kind errs.Invalid if no column fits.
-func Save(t *Table, unit, path string) error {
+// Selection says which columns of a table are drawn.
+type Selection struct {
+	Prefix string // beginning of the headings, such as "critical"; empty fits all
+	Unit   string // ending of the headings, such as "/s"
+}
+
+func (s Selection) fits(heading string) bool {
+	return strings.HasPrefix(heading, s.Prefix) && strings.HasSuffix(heading, s.Unit)
+}
+
+// Save draws the selected columns against the first column and writes the
+// picture in the format that the ending of path names. It returns an error of
+// kind errs.Invalid if no column fits.
+func Save(t *Table, sel Selection, path string) error {
 	p := plot.New()
 	p.Title.Text = t.Title
 	p.X.Label.Text = t.Columns[0]
-	p.Y.Label.Text = unit
+	p.Y.Label.Text = strings.TrimSpace(sel.Prefix + " " + sel.Unit)
 	p.Y.Min = 0
 	p.Legend.Top = true
 	p.Legend.Left = true
 	lines := 0
 	for column := 1; column < len(t.Columns); column++ {
 		points := t.points(column)
-		if !strings.HasSuffix(t.Columns[column], unit) || len(points) == 0 {
+		if !sel.fits(t.Columns[column]) || len(points) == 0 {
 			continue
 		}
-		if err := addLine(p, lines, strings.TrimSuffix(t.Columns[column], unit), points); err != nil {
+		if err := addLine(p, lines, strings.TrimSuffix(t.Columns[column], sel.Unit), points); err != nil {
 			return err
 		}
 		lines++
 	}
 	if lines == 0 {
-		return errs.New(errs.Invalid, "give a unit that ends the heading of a column", "no column of %q ends with %q", t.Title, unit)
+		return errs.New(errs.Invalid, "give a prefix and a unit that fit the heading of a column", "no column of %q fits %q and %q", t.Title, sel.Prefix, sel.Unit)
 	}
 	return p.Save(width, height, path)
 }
--- a/chart/chart_test.go
+++ b/chart/chart_test.go
@@ -32,13 +32,13 @@
 		t.Fatalf("got %+v", table)
 	}
 	path := filepath.Join(t.TempDir(), "chart.png")
-	if err := Save(table, "/s", path); err != nil {
+	if err := Save(table, Selection{Prefix: "n", Unit: "/s"}, path); err != nil {
 		t.Fatal(err)
 	}
 	if info, err := os.Stat(path); err != nil || info.Size() == 0 {
 		t.Fatalf("no picture: %v", err)
 	}
-	if err := Save(table, "ms", path); errs.KindOf(err) != errs.Invalid {
+	if err := Save(table, Selection{Unit: "ms"}, path); errs.KindOf(err) != errs.Invalid {
 		t.Fatalf("unit without a column: %v", err)
 	}
 }
