One place for encoding and decoding the messages between nodes

The same two functions stood in packages membership and spread; they are in package wire now, with the comment on the package.

--- a/membership/codec.go
+++ b/membership/codec.go
@@ -107,23 +107,6 @@
 // the same region, failure domain or service.
 func intern(s string) string { return unique.Make(s).Value() }
 
-// decode unmarshals b into msg, or returns an error of kind errs.Invalid.
-func decode(b []byte, msg proto.Message) error {
-	if err := proto.Unmarshal(b, msg); err != nil {
-		return errs.Wrap(err, errs.Invalid, "check that the sender is a node of this system", "message of %d bytes", len(b))
-	}
-	return nil
-}
-
-// encode marshals msg, which never fails for the messages of this package.
-func encode(msg proto.Message) []byte {
-	b, err := proto.Marshal(msg)
-	if err != nil {
-		return nil
-	}
-	return b
-}
-
 // recordSize returns the bytes r takes in a repeated field.
 func recordSize(r *wire.MemberRecord) int { return proto.Size(r) + 3 }
 
--- a/membership/codec_test.go
+++ b/membership/codec_test.go
@@ -53,12 +53,12 @@
 	if err := a.apply(r, fromGossip, now); err != nil {
 		t.Fatal(err)
 	}
-	reply, err := a.Exchange(encode(&wire.MembershipRequest{From: "b", Page: true}), now)
+	reply, err := a.Exchange(wire.Encode(&wire.MembershipRequest{From: "b", Page: true}), now)
 	if err != nil {
 		t.Fatal(err)
 	}
 	msg := &wire.MembershipReply{}
-	if err := decode(reply, msg); err != nil {
+	if err := wire.Decode(reply, msg); err != nil {
 		t.Fatal(err)
 	}
 	if err := b.applyAll(msg.Records, fromPage, now); err != nil {
@@ -76,7 +76,7 @@
 	bad.Addr = []byte{1, 2, 3}
 	newer.State = 77
 	msg := &wire.GossipPacket{From: "b", Kind: wire.PacketKind_PACKET_KIND_PUSH, Events: []*wire.MemberRecord{bad, newer, good}}
-	if _, err := table.Handle("10.0.0.2:1", encode(msg), now); errs.KindOf(err) != errs.Invalid {
+	if _, err := table.Handle("10.0.0.2:1", wire.Encode(msg), now); errs.KindOf(err) != errs.Invalid {
 		t.Errorf("error %v", err)
 	}
 	if _, ok := table.Lookup(good.Id); !ok {
--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -119,7 +119,7 @@
 	if e == nil {
 		return Member{}, nil, false
 	}
-	payload = encode(t.exchangeRequest(kind, room))
+	payload = wire.Encode(t.exchangeRequest(kind, room))
 	s.flight = flight{peer: e.ID, until: now.Add(t.cfg.ExchangeTimeout), kind: kind}
 	t.spendExchange(len(payload), now)
 	t.stats.ExchangesSent++
@@ -231,7 +231,7 @@
 	}
 	kind := s.flight.kind
 	reply := &wire.MembershipReply{}
-	if err := decode(payload, reply); err != nil {
+	if err := wire.Decode(payload, reply); err != nil {
 		t.stats.Malformed++
 		t.ExchangeFailed(peerID, now)
 		return err
@@ -337,7 +337,7 @@
 // an error of kind errs.Invalid.
 func (t *Table) Exchange(payload []byte, now time.Time) ([]byte, error) {
 	req := &wire.MembershipRequest{}
-	if err := decode(payload, req); err != nil {
+	if err := wire.Decode(payload, req); err != nil {
 		t.stats.Malformed++
 		return nil, err
 	}
@@ -355,7 +355,7 @@
 	default:
 		t.fillGroups(req, reply, room)
 	}
-	b := encode(reply)
+	b := wire.Encode(reply)
 	t.spendExchange(len(b), now)
 	return b, err
 }
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -25,7 +25,7 @@
 // seal encodes msg as it is and takes it out of the budget.
 func (t *Table) seal(to string, msg *wire.GossipPacket, now time.Time) Packet {
 	msg.From = t.self.ID
-	payload := encode(msg)
+	payload := wire.Encode(msg)
 	t.out.Room(now)
 	t.out.Spend(len(payload) + bytelimit.DatagramOverhead)
 	t.stats.PacketsSent++
@@ -97,7 +97,7 @@
 func (t *Table) Handle(from string, payload []byte, now time.Time) ([]Packet, error) {
 	t.checkPause(now)
 	msg := &wire.GossipPacket{}
-	if err := decode(payload, msg); err != nil {
+	if err := wire.Decode(payload, msg); err != nil {
 		t.stats.Malformed++
 		return nil, err
 	}
--- a/membership/probe_test.go
+++ b/membership/probe_test.go
@@ -30,7 +30,7 @@
 // doubt its own link.
 func hear(t *testing.T, table *Table, from string, now time.Time) {
 	msg := &wire.GossipPacket{Kind: wire.PacketKind_PACKET_KIND_PUSH, From: from}
-	if _, err := table.Handle("10.200.0.1:7000", encode(msg), now); err != nil {
+	if _, err := table.Handle("10.200.0.1:7000", wire.Encode(msg), now); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -67,7 +67,7 @@
 		suspect.Tick(now)
 		for _, p := range table.Tick(now) {
 			msg := &wire.GossipPacket{}
-			if err := decode(p.Payload, msg); err != nil {
+			if err := wire.Decode(p.Payload, msg); err != nil {
 				t.Fatal(err)
 			}
 			if msg.Kind != wire.PacketKind_PACKET_KIND_PING || msg.TargetId != records[0].Id || msg.Sequence != 0 {
@@ -101,7 +101,7 @@
 			continue
 		}
 		ack := &wire.GossipPacket{Kind: wire.PacketKind_PACKET_KIND_ACK, From: "new", TargetId: "new", Sequence: table.prober.current.seq}
-		if _, err := table.Handle(packets[0].To, encode(ack), now); err != nil {
+		if _, err := table.Handle(packets[0].To, wire.Encode(ack), now); err != nil {
 			t.Fatal(err)
 		}
 		break
@@ -118,7 +118,7 @@
 		sender := newTable(t, records[0].Id)
 		table.declareDead(table.index.byID[records[0].Id], now)
 		msg := &wire.GossipPacket{Kind: kind, From: records[0].Id}
-		answers, err := table.Handle("10.200.0.0:7000", encode(msg), now)
+		answers, err := table.Handle("10.200.0.0:7000", wire.Encode(msg), now)
 		if err != nil || len(answers) == 0 {
 			t.Fatalf("%v: no answer, error %v", kind, err)
 		}
--- a/spread/claim.go
+++ b/spread/claim.go
@@ -76,7 +76,7 @@
 // claim returns the action that tries to take a slot.
 func (c *Contacts) claim(slot string, now time.Time) Action {
 	c.tried[slot] = now
-	value := encode(&wire.Contact{
+	value := wire.Encode(&wire.Contact{
 		Id:         c.self.ID,
 		Addr:       c.self.Addr,
 		GossipAddr: c.self.GossipAddr,
--- a/spread/slot.go
+++ b/spread/slot.go
@@ -77,7 +77,7 @@
 // errs.Invalid.
 func ParseContact(value []byte) (Peer, error) {
 	m := &wire.Contact{}
-	if err := decode(value, m); err != nil {
+	if err := wire.Decode(value, m); err != nil {
 		return Peer{}, err
 	}
 	if m.Id == "" || m.GossipAddr == "" {
--- a/spread/spreader.go
+++ b/spread/spreader.go
@@ -290,7 +290,7 @@
 
 // seal encodes msg and takes it out of the budget.
 func (s *Spreader) seal(to string, msg *wire.SpreadPacket, now time.Time) Message {
-	payload := encode(msg)
+	payload := wire.Encode(msg)
 	s.spend(len(payload)+bytelimit.DatagramOverhead, now)
 	s.stats.PacketsSent++
 	return Message{To: to, Payload: payload}
@@ -308,7 +308,7 @@
 // packet are still taken over.
 func (s *Spreader) Handle(from string, payload []byte, now time.Time) ([]Message, error) {
 	msg := &wire.SpreadPacket{}
-	if err := decode(payload, msg); err != nil {
+	if err := wire.Decode(payload, msg); err != nil {
 		s.stats.Malformed++
 		return nil, err
 	}
--- a/spread/spreader_test.go
+++ b/spread/spreader_test.go
@@ -244,7 +244,7 @@
 	good := store(Record{Key: "a", Revision: 1, Value: []byte("x")}, nil).wire
 	bad := &wire.ConfigRecord{Key: "b", Revision: 2, Value: []byte("no stream"), Deflate: true}
 	msg := &wire.SpreadPacket{From: "x", Records: []*wire.ConfigRecord{{}, bad, good}}
-	if _, err := n.Handle("10.0.0.9:1", encode(msg), s.now); errs.KindOf(err) != errs.Invalid {
+	if _, err := n.Handle("10.0.0.9:1", wire.Encode(msg), s.now); errs.KindOf(err) != errs.Invalid {
 		t.Errorf("error %v", err)
 	}
 	if _, ok := n.Get("a"); !ok || n.Stats().Malformed != 2 {
--- a/spread/sync.go
+++ b/spread/sync.go
@@ -119,7 +119,7 @@
 		y.suspects = ""
 		y.mismatches = 0
 	}
-	payload = encode(req)
+	payload = wire.Encode(req)
 	y.flight = syncFlight{peer: peer, until: now.Add(s.cfg.SyncTimeout), buckets: buckets}
 	s.spend(len(payload)+bytelimit.ExchangeOverhead, now)
 	s.stats.Syncs++
@@ -230,7 +230,7 @@
 		return nil
 	}
 	reply := &wire.SyncReply{}
-	if err := decode(payload, reply); err != nil {
+	if err := wire.Decode(payload, reply); err != nil {
 		s.stats.Malformed++
 		s.SyncFailed(peerID, now)
 		return err
@@ -328,7 +328,7 @@
 // error of kind errs.Invalid.
 func (s *Spreader) Sync(payload []byte, now time.Time) ([]byte, error) {
 	req := &wire.SyncRequest{}
-	if err := decode(payload, req); err != nil {
+	if err := wire.Decode(payload, req); err != nil {
 		s.stats.Malformed++
 		return nil, err
 	}
@@ -343,7 +343,7 @@
 	default:
 		s.addWanted(req, reply, min(s.cfg.PageBytes, s.out.Room(now)))
 	}
-	b := encode(reply)
+	b := wire.Encode(reply)
 	s.spend(len(b)+bytelimit.ExchangeOverhead, now)
 	return b, err
 }
--- a/spread/util.go
+++ b/spread/util.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-
-	"github.com/dogwoodhatch/dogwoodhatch/errs"
 )
 
 // compare orders a and b.
@@ -25,23 +23,6 @@
 	return d/2 + time.Duration(rng.Int64N(int64(d)+1))
 }
 
-// decode unmarshals b into msg, or returns an error of kind errs.Invalid.
-func decode(b []byte, msg proto.Message) error {
-	if err := proto.Unmarshal(b, msg); err != nil {
-		return errs.Wrap(err, errs.Invalid, "check that the sender is a node of this system", "message of %d bytes", len(b))
-	}
-	return nil
-}
-
-// encode marshals msg, which never fails for the messages of this package.
-func encode(msg proto.Message) []byte {
-	b, err := proto.Marshal(msg)
-	if err != nil {
-		return nil
-	}
-	return b
-}
-
 // fieldSize returns the bytes msg takes in a repeated field.
 func fieldSize(msg proto.Message) int { return proto.Size(msg) + 4 }
 
--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,27 @@
+// Package wire holds the messages between nodes. The types are generated from
+// the protobuf files beside them by make generate.
+package wire
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
+)
+
+// Decode unmarshals b into msg, or returns an error of kind errs.Invalid.
+func Decode(b []byte, msg proto.Message) error {
+	if err := proto.Unmarshal(b, msg); err != nil {
+		return errs.Wrap(err, errs.Invalid, "check that the sender is a node of this system", "message of %d bytes", len(b))
+	}
+	return nil
+}
+
+// Encode marshals msg. It returns nil for a message with invalid UTF-8 in a
+// string, which no field that a node fills holds.
+func Encode(msg proto.Message) []byte {
+	b, err := proto.Marshal(msg)
+	if err != nil {
+		return nil
+	}
+	return b
+}
