--- a/adminapi/adminapi_test.go
+++ b/adminapi/adminapi_test.go
@@ -13,10 +13,10 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/dogwoodhatch/dogwoodhatch/platform/kv"
+	"github.com/dogwoodhatch/dogwoodhatch/platform/kv/standin"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
 	"github.com/dogwoodhatch/dogwoodhatch/publish"
-	standin "github.com/dogwoodhatch/dogwoodhatch/standin/store"
-	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
 type fakeNode struct {
@@ -35,14 +35,14 @@
 type fixture struct {
 	t     *testing.T
 	url   string
-	store *standin.Server
+	store *standin.Door
 	logs  *observer.ObservedLogs
 	node  *fakeNode
 }
 
 func start(t *testing.T) *fixture {
 	t.Helper()
-	s := standin.New(standin.DefaultConfig())
+	s := standin.New(standin.DefaultConfig()).NewDoor()
 	platform := httptest.NewServer(s)
 	cfg := publish.DefaultConfig()
 	cfg.Backoff = time.Millisecond
@@ -50,7 +50,7 @@
 	node := &fakeNode{book: profile.NewBook()}
 	deps := Deps{
 		Node: "n1", Fleet: node, Drainer: node, Book: node, Log: zap.New(core),
-		Publisher: publish.New(store.NewClient(platform.URL, store.DefaultOptions()), cfg, time.Now),
+		Publisher: publish.New(kv.NewClient(platform.URL, kv.DefaultOptions()), cfg, time.Now),
 	}
 	for _, name := range []string{"ann", "bob"} {
 		hash := sha256.Sum256([]byte("token-" + name))
--- a/admission/config.go
+++ b/admission/config.go
@@ -88,6 +88,19 @@
 	Share        bool // guarantee nothing to less important calls
 }
 
+// slotsPart is the part of the slots that is used. Some backend servers slow down
+// when the last slots are taken.
+const slotsPart = 0.95
+
+// FixLimit makes the concurrency limit that of a backend server that tells its
+// slots truthfully, in place of a learned one. Such a backend server may never
+// answer what it cannot queue.
+func (c *Config) FixLimit(slots int) {
+	c.MaxLimit = max(1, int(slotsPart*float64(slots)))
+	c.Disabled.Limit = true
+	c.Disabled.Ramp = true
+}
+
 // DefaultConfig returns settings for backend servers of 8 to 140 slots.
 func DefaultConfig() Config {
 	return Config{
--- a/apps/dogwoodhatch-node/main.go
+++ b/apps/dogwoodhatch-node/main.go
@@ -24,7 +24,7 @@
 func main() {
 	debug.SetMemoryLimit(memoryLimit)
 	var opts struct {
-		Config string `short:"c" long:"config" required:"true" value-name:"FILE" description:"settings file (INI)"`
+		Config string `short:"c" long:"config" env:"DOGWOODHATCH_NODE_FILE" required:"true" value-name:"FILE" description:"settings file (INI)"`
 	}
 	if _, err := flags.Parse(&opts); err != nil {
 		if flags.WroteHelp(err) {
@@ -37,14 +37,22 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		n.Exit()
-	}()
+	go handleSignals(n)
 	if err := n.Main(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
+
+// handleSignals reloads the settings on SIGHUP and ends the node on the others.
+func handleSignals(n *node.Node) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	for s := range signals {
+		if s == syscall.SIGHUP {
+			n.Reload()
+			continue
+		}
+		go n.Exit()
+	}
+}
--- a/apps/dogwoodhatch-store/main.go
+++ b/apps/dogwoodhatch-store/main.go
@@ -11,13 +11,13 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/dogwoodhatch/dogwoodhatch/standin/store"
+	"github.com/dogwoodhatch/dogwoodhatch/platform/kv/standin"
 )
 
 type options struct {
-	Listen string `long:"listen" value-name:"ADDR" default:"127.0.0.1:7400" description:"address of the HTTP interface"`
-	Writes int    `long:"writes" value-name:"N" default:"500" description:"writes per second beyond which calls are answered with 429"`
-	Reads  int    `long:"reads" value-name:"N" default:"2000" description:"reads per second beyond which calls are answered with 429"`
+	Listen []string `long:"listen" value-name:"ADDR" default:"127.0.0.1:7400" description:"address of the HTTP interface; each further one has faults of its own"`
+	Writes int      `long:"writes" value-name:"N" default:"400" description:"writes per second beyond which calls are answered with 429"`
+	Reads  int      `long:"reads" value-name:"N" default:"2000" description:"reads per second beyond which calls are answered with 429"`
 }
 
 // Exit status.
@@ -40,14 +40,18 @@
 	}
 }
 
-// serve listens until it fails.
+// serve listens until one of the addresses fails.
 func serve(opts options) error {
-	listener, err := net.Listen("tcp", opts.Listen)
-	if err != nil {
-		return err
+	server := standin.New(standin.Config{WritesPerSecond: opts.Writes, ReadsPerSecond: opts.Reads})
+	failed := make(chan error)
+	for _, addr := range opts.Listen {
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("event=listening addr=%s\n", listener.Addr())
+		door := &http.Server{Handler: server.NewDoor(), ReadHeaderTimeout: 10 * time.Second}
+		go func() { failed <- door.Serve(listener) }()
 	}
-	fmt.Printf("event=listening addr=%s\n", listener.Addr())
-	cfg := store.Config{WritesPerSecond: opts.Writes, ReadsPerSecond: opts.Reads}
-	server := &http.Server{Handler: store.New(cfg), ReadHeaderTimeout: 10 * time.Second}
-	return server.Serve(listener)
+	return <-failed
 }
--- a/apps/dogwoodhatch-store/main_test.go
+++ b/apps/dogwoodhatch-store/main_test.go
@@ -13,9 +13,9 @@
 	"github.com/google/uuid"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/platform/kv"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
 	"github.com/dogwoodhatch/dogwoodhatch/publish"
-	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
 // startDaemon runs the daemon and returns it with its address.
@@ -56,9 +56,9 @@
 // A write to a stopped store arrives when the store goes on.
 func TestWriteToAStoppedStoreIsNotKnownUntilItGoesOn(t *testing.T) {
 	cmd, addr := startDaemon(t)
-	opts := store.DefaultOptions()
+	opts := kv.DefaultOptions()
 	opts.Timeout = time.Second
-	client := store.NewClient("http://"+addr, opts)
+	client := kv.NewClient("http://"+addr, opts)
 	p := publish.New(client, publish.Config{Attempts: 1, HistoryLength: 8}, time.Now)
 	ctx := context.Background()
 	put := func(name string, base uint64) (publish.Outcome, error) {
--- a/apps/dogwoodhatch/main_test.go
+++ b/apps/dogwoodhatch/main_test.go
@@ -18,10 +18,10 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/adminapi"
+	"github.com/dogwoodhatch/dogwoodhatch/platform/kv"
+	"github.com/dogwoodhatch/dogwoodhatch/platform/kv/standin"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
 	"github.com/dogwoodhatch/dogwoodhatch/publish"
-	standin "github.com/dogwoodhatch/dogwoodhatch/standin/store"
-	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
 type fakeNode struct{ *profile.Book }
@@ -40,14 +40,14 @@
 	t          *testing.T
 	dir        string
 	url        string
-	store      *standin.Server
+	store      *standin.Door
 	loseAnswer bool // the node's next answer to a change is lost
 	transcript bytes.Buffer
 }
 
 func startSession(t *testing.T) *session {
 	t.Helper()
-	s := &session{t: t, dir: t.TempDir(), store: standin.New(standin.DefaultConfig())}
+	s := &session{t: t, dir: t.TempDir(), store: standin.New(standin.DefaultConfig()).NewDoor()}
 	platform := httptest.NewServer(s.store)
 	cfg := publish.DefaultConfig()
 	cfg.Backoff = time.Millisecond
@@ -60,7 +60,7 @@
 	node := fakeNode{profile.NewBook()}
 	h := adminapi.New(adminapi.Deps{
 		Node: "n1", Fleet: node, Drainer: node, Book: node, Log: zap.NewNop(),
-		Publisher:   publish.New(store.NewClient(platform.URL, store.DefaultOptions()), cfg, clock),
+		Publisher:   publish.New(kv.NewClient(platform.URL, kv.DefaultOptions()), cfg, clock),
 		Credentials: []adminapi.Credential{credential},
 	})
 	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -120,14 +120,14 @@
 	s.run(exitUsage, "profile put calm FILE/calm.ini")
 	s.run(exitOK, "profile put calm FILE/calm.ini --create")
 	s.run(exitConflict, "profile put calm FILE/calm.ini --create")
-	s.run(exitFault, "profile put calm FILE/bad.ini --base 1")
+	s.run(exitFault, "profile put calm FILE/bad.ini --base 2")
 	s.file("edited.ini", s.run(exitOK, "profile get calm")+"idempotent = true\n")
 	s.run(exitOK, "profile put calm FILE/edited.ini")
 	s.run(exitConflict, "profile put calm FILE/edited.ini")
 	s.run(exitOK, "service bind tejas calm --create")
 	s.run(exitOK, "service get tejas")
-	s.run(exitConflict, "profile delete calm --base 2")
-	s.run(exitOK, "profile undo calm --base 2")
+	s.run(exitConflict, "profile delete calm --base 3")
+	s.run(exitOK, "profile undo calm --base 3")
 	s.run(exitOK, "profile list")
 	s.run(exitOK, "profile history calm")
 	s.run(exitFault, "profile get storm")
@@ -148,16 +148,16 @@
 	s.store.SetFaults(standin.Faults{LoseAnswers: 1})
 	s.run(exitOK, "profile put calm FILE/calm.ini --create")
 	s.loseAnswer = true
-	s.run(exitOK, "profile put calm FILE/calm.ini --base 1")
+	s.run(exitOK, "profile put calm FILE/calm.ini --base 2")
 	s.store.SetFaults(standin.Faults{LoseRequests: 3})
-	told := s.run(exitNotKnown, "profile put calm FILE/calm.ini --base 2")
+	told := s.run(exitNotKnown, "profile put calm FILE/calm.ini --base 3")
 	ref := regexp.MustCompile(`resolve (\S+)`).FindStringSubmatch(told)[1]
 	s.run(exitNotKnown, "change resolve "+ref)
 	s.run(exitConflict, "change resolve --settle "+ref)
 	s.store.SetFaults(standin.Faults{Down: true})
-	s.run(exitFault, "profile put calm FILE/calm.ini --base 3")
+	s.run(exitFault, "profile put calm FILE/calm.ini --base 4")
 	s.loseAnswer = true
-	s.run(exitNotKnown, "profile put calm FILE/calm.ini --base 3")
+	s.run(exitNotKnown, "profile put calm FILE/calm.ini --base 4")
 	s.assert("lost_answers")
 }
 
--- a/call/call.go
+++ b/call/call.go
@@ -3,7 +3,9 @@
 package call
 
 import (
+	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -86,11 +88,22 @@
 	ReasonKeyHeld     Reason = "key_held"     // the idempotency key was submitted before
 	ReasonKeyUnproved Reason = "key_unproved" // the idempotency key cannot be proved unused
 	ReasonBadRequest  Reason = "bad_request"  // the request is malformed or too large
+	ReasonNoRoute     Reason = "no_route"     // the desired state has no route for the request
+	ReasonNoState     Reason = "no_state"     // this node knows no desired state yet
+	ReasonMisdirected Reason = "misdirected"  // another backend server has the address
 )
 
 // ID identifies an attempt, a chain or a submission.
 type ID = uuid.UUID
 
+// NewID returns a random ID. It is not secret.
+func NewID() ID {
+	var id ID
+	binary.NativeEndian.PutUint64(id[:8], rand.Uint64())
+	binary.NativeEndian.PutUint64(id[8:], rand.Uint64())
+	return id
+}
+
 // ParseID reads the 16 bytes of an ID.
 func ParseID(b []byte) (ID, error) {
 	id, err := uuid.FromBytes(b)
@@ -105,9 +118,15 @@
 	ID         ID
 	Class      string
 	Priority   Priority
-	Idempotent bool      // whether a request that may have run can be sent again
-	Deadline   time.Time // on the local clock
-	Depth      int       // hops from the first node
+	Idempotent bool          // whether a request that may have run can be sent again
+	Deadline   time.Time     // on the local clock
+	Depth      int           // hops from the first node
+	RequestID  string        // that the caller gave this call; "" if none
+	Origin     string        // service beside the node where the call began
+	Cohort     uint32        // equal for all calls of the chain, spread evenly over chains
+	Repeat     bool          // an earlier attempt of the chain may have run
+	Objective  time.Duration // within which an answer is worth most; 0 if not set
+	MaxSends   int           // backend servers that may get the call; 0 leaves it to the allowance
 }
 
 // Pressure is the load of one service at one node, told on every answer.
--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -114,7 +114,7 @@
 	}
 	var alive []*node
 	for _, n := range f.nodes {
-		if n.logged("action=start_watch") {
+		if n.logCount("action=start_watch") > n.logCount("action=stop_watch") {
 			n.kill()
 			continue
 		}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -49,7 +49,6 @@
 	dir      string
 	storeURL string
 	store    *proc
-	contacts []string
 	nodes    []*node
 }
 
@@ -167,16 +166,15 @@
 	}
 	n := &node{f: f, name: name, outside: freePort(f.t), local: freePort(f.t), peer: freePort(f.t), admin: freePort(f.t)}
 	n.config = filepath.Join(f.dir, name+".ini")
-	text := fmt.Sprintf("[node]\nid = %s\nregion = %s\nfailure_domain = %s-a\n[listen]\noutside = %s\nlocal = %s\npeer = %s\ngossip = %s\nadmin = %s\n",
-		name, o.region, o.region, n.outside, n.local, n.peer, n.peer, n.admin)
+	text := fmt.Sprintf("[node]\nid = %s\nregion = %s\nfailure_domain = %s-a\n[listen]\noutside = %s\nlocal = %s\npeer = %s\nadmin = %s\n",
+		name, o.region, o.region, n.outside, n.local, n.peer, n.admin)
 	if o.advertise != nil {
 		text += "advertise_peer = " + o.advertise(n.peer) + "\n"
 	}
-	if f.storeURL != "" {
-		text += "[store]\nurl = " + f.storeURL + "\n"
+	if f.storeURL == "" {
+		f.startStore() // the members of a fleet find each other there
 	}
-	f.contacts = append(f.contacts, n.peer)
-	text += "[contacts]\naddresses = " + strings.Join(f.contacts, ",") + "\n[admin]\ncredentials = operator:secret\n" + o.extra
+	text += "[store]\nurl = " + f.storeURL + "\n[admin]\ncredentials = operator:secret\n" + o.extra
 	if err := os.WriteFile(n.config, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/e2e/profile_test.go
+++ b/e2e/profile_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/google/uuid"
 
+	"github.com/dogwoodhatch/dogwoodhatch/platform/kv"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
-	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
 // testProfile has one class of each kind that the failure tests need.
@@ -45,7 +45,7 @@
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
-	client := store.NewClient(f.storeURL, store.DefaultOptions())
+	client := kv.NewClient(f.storeURL, kv.DefaultOptions())
 	defer client.Close()
 	r.Kind = kind
 	r.Name = name
--- a/errs/errs.go
+++ b/errs/errs.go
@@ -21,9 +21,10 @@
 	Unavailable             // a dependency does not answer
 	Unknown                 // the effect of an operation is not known
 	Denied                  // the credential does not allow the operation
+	Gone                    // what was asked for is no longer kept
 )
 
-var kindNames = [...]string{"internal", "invalid", "conflict", "not_found", "unavailable", "unknown", "denied"}
+var kindNames = [...]string{"internal", "invalid", "conflict", "not_found", "unavailable", "unknown", "denied", "gone"}
 
 // String returns the name used in logs and API answers.
 func (k Kind) String() string {
--- a/kernel/drain.go
+++ b/kernel/drain.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 )
 
 // Drain tracks the graceful shutdown of a node: whether it is leaving and how
 // many requests it still carries.
 type Drain struct {
 	mu       sync.Mutex
+	closing  atomic.Bool
 	leaving  bool
 	inFlight int
 	idle     chan struct{} // closed when leaving and nothing is in flight
@@ -52,6 +54,13 @@
 	d.check()
 }
 
+// Close says that the node stops soon: callers are told to go elsewhere, and
+// their requests are still served.
+func (d *Drain) Close() { d.closing.Store(true) }
+
+// Closing tells whether Close was called.
+func (d *Drain) Closing() bool { return d.closing.Load() }
+
 // Leave starts the graceful shutdown.
 func (d *Drain) Leave() {
 	d.mu.Lock()
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -9,11 +9,14 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/dogwoodhatch/dogwoodhatch/route"
 	"github.com/dogwoodhatch/dogwoodhatch/settings"
+	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
 // Kernel is the shared state of one node. The interface fields are set by the
@@ -30,13 +33,21 @@
 	Transport  Transport
 	Target     Target
 	Caller     Caller
+	Ingress    Ingress
 	Executions Executions
 	Backend    Backend
-	Datagrams  Datagrams
+	Dialect    BackendDialect // nil speaks the project's own
+	Routes     *route.Book    // desired state of routes
+	Bounds     Bounds
+	Replica    Replica
+	Records    *Records
+	Store      store.Store // nil without a store
 	Exchanges  *Exchanges
 	Drain      *Drain
 
 	plugins []named
+	started atomic.Bool
+	origin  atomic.Pointer[string]
 }
 
 type named struct {
@@ -60,7 +71,7 @@
 
 // Stages: a plug-in may use during setup what earlier stages provide.
 const (
-	StageSocket    Stage = iota // control messages
+	StagePlatform  Stage = iota // what the platform provides
 	StageState                  // membership and configuration
 	StageTransport              // between nodes
 	StageTarget                 // beside the backend server
@@ -89,9 +100,10 @@
 
 // New returns a kernel with all registered plug-ins set up.
 func New(s *settings.Settings, nodeID string, log *zap.Logger, reg metrics.Registry) (*Kernel, error) {
-	k := &Kernel{Settings: s, NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Drain: newDrain()}
+	k := &Kernel{Settings: s, NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Records: newRecords(), Routes: &route.Book{}, Drain: newDrain()}
 	metrics.NewRegisteredFunctionalGauge("control.busy_us", reg, func() int64 { return k.Control.Busy().Microseconds() })
 	metrics.NewRegisteredFunctionalGauge("requests.in_flight", reg, func() int64 { return int64(k.Drain.InFlight()) })
+	k.Reload(s)
 	registryMu.Lock()
 	list := slices.Clone(registry)
 	registryMu.Unlock()
@@ -116,9 +128,23 @@
 		}
 		k.Log.Info("plugin_started", zap.String("plugin", p.name))
 	}
+	k.started.Store(true)
 	return nil
 }
 
+// Ready reports whether the node takes work: it has started, knows the state of
+// the fleet and is not about to stop.
+func (k *Kernel) Ready() bool {
+	return k.started.Load() && k.Replica.Revision() > 0 && !k.Drain.Closing()
+}
+
+// Origin returns the service of the backend server on the VM.
+func (k *Kernel) Origin() string { return *k.origin.Load() }
+
+// Reload takes new settings; only those that can change while the node runs are
+// read.
+func (k *Kernel) Reload(s *settings.Settings) { k.origin.Store(&s.Node.Service) }
+
 // Stop stops the plug-ins in reverse order, then the control goroutine.
 func (k *Kernel) Stop(ctx context.Context) { k.stop(ctx, k.plugins) }
 
--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -4,8 +4,10 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/lifecycle"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
 	"github.com/dogwoodhatch/dogwoodhatch/retry"
@@ -15,10 +17,10 @@
 // Policies gives the profiles in force. Safe for concurrent use.
 type Policies interface {
 	Snapshot() *profile.Snapshot
-	// Highest returns the highest store revision that this node has learned.
+	// Highest returns the highest store revision of a record that this node has learned.
 	Highest() uint64
-	// Learn takes a record that the store accepted and spreads it.
-	Learn(key string, revision uint64, value []byte)
+	// Learn tells that the store has accepted a change; it is read at once.
+	Learn()
 }
 
 // Fleet gives the known members. Safe for concurrent use.
@@ -29,22 +31,26 @@
 	Members(service string) []membership.Member
 	// All returns every known member; the slice must not be changed.
 	All() []membership.Member
-	// Lookup returns a member by its id. It must be called on the control
-	// goroutine.
-	Lookup(id string) (membership.Member, bool)
 	// Announce tells the fleet which service the backend server beside this
-	// node runs; "" withdraws the announcement.
-	Announce(service string)
-	// Join adds first contacts, as gossip addresses. It must be called on the
-	// control goroutine.
-	Join(contacts []string)
+	// node runs, with how many slots; "" withdraws the announcement.
+	Announce(service string, slots int)
 	// Leave tells the fleet that this node is shutting down.
 	Leave()
 }
 
+// Replica is this node's copy of the store. Safe for concurrent use.
+type Replica interface {
+	// Revision returns the store revision that this node knows; 0 before it
+	// knows any state.
+	Revision() uint64
+	// Heard takes the revision that the node at addr knows.
+	Heard(addr string, revision uint64)
+}
+
 // Request is a call on the caller's side.
 type Request struct {
 	Service        string
+	Host           string // that the caller named, "" for the service
 	Method         string
 	Target         string // path and query
 	Header         http.Header
@@ -64,6 +70,24 @@
 	Trailer *Trailer      // complete once Body returned io.EOF or the answer was refused
 }
 
+// Incoming is a request that the desired state routes by host and path.
+type Incoming struct {
+	Host      string
+	Method    string
+	Target    string // path and query, as the caller wrote them
+	Header    http.Header
+	Body      []byte
+	RequestID string
+	Wait      time.Duration // how long the caller waits, 0 if it does not tell
+}
+
+// Ingress serves requests by the desired state of routes. The error is of kind
+// errs.NotFound without a route and errs.Unavailable without a desired state; the
+// request has not run then.
+type Ingress interface {
+	Serve(ctx context.Context, r *Incoming) (*Answer, error)
+}
+
 // Trailer holds what arrives behind the body of an answer.
 type Trailer struct {
 	Done        bool // the end of the answer arrived
@@ -86,8 +110,9 @@
 	// Call sends an attempt. The error is of kind Unavailable when nothing was
 	// sent; any later fault is told by the answer.
 	Call(ctx context.Context, addr string, a *Attempt) (*Answer, error)
-	// Withdraw asks the node to promise that the attempt never starts.
-	Withdraw(ctx context.Context, addr string, attempt call.ID) (neverRan bool, err error)
+	// Withdraw asks the process node at addr to promise that the attempt never
+	// starts.
+	Withdraw(ctx context.Context, addr, node string, attempt call.ID) (neverRan bool, err error)
 	// Claim records an idempotency key at a holder.
 	Claim(ctx context.Context, addr string, c *wire.Claim) (*wire.ClaimReply, error)
 	// Release gives a claim back.
@@ -107,9 +132,15 @@
 type Target interface {
 	// Serve executes one attempt. ctx is cancelled when the source has gone.
 	Serve(ctx context.Context, head *wire.CallHead, body []byte, w AnswerWriter) call.Result
-	Withdraw(attempt call.ID) (neverRan bool)
+	// Withdraw promises that an attempt sent to the process node never starts,
+	// if this is that process and nothing has started.
+	Withdraw(node string, attempt call.ID) (neverRan bool)
 	Claim(c *wire.Claim) *wire.ClaimReply
 	Release(r *wire.Release)
+	// Report takes an ordered statement of the backend server; Departed takes that
+	// a start of it leaves.
+	Report(r lifecycle.Report)
+	Departed(instance string, born int64)
 	// Announce starts or renews serving the backend server; Withdrawn ends it.
 	Announce(b BackendInfo)
 	Withdrawn()
@@ -120,6 +151,7 @@
 
 // BackendInfo is the announcement of a backend server.
 type BackendInfo struct {
+	Instance    string `json:"instance"` // id of this start, "" if not told
 	Service     string `json:"service"`
 	Address     string `json:"address"`     // host:port
 	Slots       int    `json:"slots"`       // calls executed at once, 0 if not told
@@ -141,9 +173,12 @@
 	Allowance *retry.Allowance
 }
 
-// Executions finds running executions by token.
+// Executions finds running executions.
 type Executions interface {
+	// Lookup finds an execution by its token.
 	Lookup(token string) (*Execution, bool)
+	// LookupRequest finds an execution by the id that the caller gave the request.
+	LookupRequest(id string) (*Execution, bool)
 }
 
 // Backend speaks to the backend server.
@@ -155,19 +190,46 @@
 
 // BackendRequest is what reaches the backend server.
 type BackendRequest struct {
-	Method    string
-	Target    string
-	Host      string
-	Header    http.Header
-	Body      []byte
-	TimeoutMS int64
-	Token     string // names the execution for sub-calls
+	Method     string
+	Target     string
+	Host       string
+	Header     http.Header
+	Body       []byte
+	TimeoutMS  int64
+	Token      string // names the execution for sub-calls
+	RequestID  string // that the caller gave the request
+	Instance   string // start of the backend server that is to run it, "" for any
+	Origin     string // service beside the node where the request began
+	Idempotent bool
+	Fresh      bool // over a new connection, since an older one may be silent
 }
 
 // BackendResponse is the answer of the backend server.
 type BackendResponse struct {
+	BackendReport
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	Shed   bool // the backend server proved that it did not run the call
+}
+
+// BackendReport is what the head of an answer tells besides the answer.
+type BackendReport struct {
+	NotRun  bool        // the backend server proved that it did not run the call
+	Other   bool        // another start of a backend server has the address; it did not run the call
+	Foreign bool        // the answer belongs to another request
+	Load    BackendLoad // zero if not told
+}
+
+// BackendLoad is the load that a backend server tells.
+type BackendLoad struct {
+	Running, Waiting, Slots int
+}
+
+// BackendDialect names the headers by which a node and a backend server
+// understand each other. Safe for concurrent use.
+type BackendDialect interface {
+	// Encode sets the headers of a request.
+	Encode(h http.Header, req *BackendRequest)
+	// Decode reads the head of an answer and removes what only the node reads.
+	Decode(status int, h http.Header, req *BackendRequest) BackendReport
 }
--- /dev/null
+++ b/lifecycle/lifecycle_test.go
@@ -0,0 +1,104 @@
+package lifecycle
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var now = time.Unix(1000, 0)
+
+func TestOrder(t *testing.T) {
+	type step struct {
+		report  Report
+		leave   bool
+		want    Change
+		serving bool
+	}
+	for name, steps := range map[string][]step{
+		"a start, a renewal, a drain": {
+			{Report{Instance: "a", Born: 1, Sequence: 1}, false, Started, true},
+			{Report{Instance: "a", Born: 1, Sequence: 2}, false, Renewed, true},
+			{Report{Instance: "a", Born: 1, Sequence: 3, Draining: true}, false, Ended, false},
+		},
+		"a late report after the drain": {
+			{Report{Instance: "a", Born: 1, Sequence: 5, Draining: true}, false, Ended, false},
+			{Report{Instance: "a", Born: 1, Sequence: 4}, false, Stale, false},
+			{Report{Instance: "a", Born: 1, Sequence: 6}, false, Renewed, false},
+		},
+		"a late report of the start before": {
+			{Report{Instance: "b", Born: 9, Sequence: 1}, false, Started, true},
+			{Report{Instance: "a", Born: 1, Sequence: 80, Draining: true}, false, Stale, true},
+			{Report{Instance: "a", Born: 1}, true, Stale, true},
+		},
+		"a start under the id of the one before": {
+			{Report{Instance: "a", Born: 1, Sequence: 80, Draining: true}, false, Ended, false},
+			{Report{Instance: "a", Born: 9, Sequence: 1}, false, Started, true},
+			{Report{Instance: "a", Born: 1}, true, Stale, true},
+		},
+		"a backend server that leaves first": {
+			{Report{Instance: "a", Born: 1, Sequence: 1}, false, Started, true},
+			{Report{Instance: "a", Born: 1}, true, Ended, false},
+			{Report{Instance: "a", Born: 1, Sequence: 2}, false, Renewed, false},
+		},
+		"a departure before any report": {
+			{Report{Instance: "a", Born: 1}, true, Ended, false},
+			{Report{Instance: "a", Born: 1, Sequence: 2}, false, Renewed, false},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tr Tracker
+			for i, s := range steps {
+				var got Change
+				if s.leave {
+					got = tr.Leave(s.report.Instance, s.report.Born, now)
+				} else {
+					got = tr.Take(s.report, now)
+				}
+				if got != s.want || tr.Serving() != s.serving {
+					t.Fatalf("step %d: %v, serving %t; want %v, %t", i, got, tr.Serving(), s.want, s.serving)
+				}
+			}
+		})
+	}
+}
+
+func TestSilence(t *testing.T) {
+	var tr Tracker
+	tr.Take(Report{Instance: "a", Sequence: 1}, now)
+	if tr.Silent(time.Second, now.Add(time.Second)) || !tr.Silent(time.Second, now.Add(2*time.Second)) {
+		t.Fatal("silence is not told by its limit")
+	}
+}
+
+// TestReportsInAnyOrder delivers the reports of several starts in any order. The
+// newest start that was heard of decides, and one that drained never serves.
+func TestReportsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Report
+		for born := int64(1); born <= 3; born++ {
+			drains := int64(rapid.IntRange(2, 6).Draw(t, "drains"))
+			for seq := int64(1); seq <= 5; seq++ {
+				all = append(all, Report{Instance: "a", Born: born, Sequence: seq, Draining: seq >= drains})
+			}
+		}
+		var tr Tracker
+		var newest Report
+		drained := map[int64]bool{}
+		for range rapid.IntRange(1, 30).Draw(t, "deliveries") {
+			r := rapid.SampledFrom(all).Draw(t, "report")
+			tr.Take(r, now)
+			if r.Born > newest.Born || r.Born == newest.Born && r.Sequence > newest.Sequence {
+				newest = r
+				drained[r.Born] = drained[r.Born] || r.Draining
+			}
+			if tr.Current() != newest {
+				t.Fatalf("current %+v, newest %+v", tr.Current(), newest)
+			}
+			if tr.Serving() == drained[newest.Born] {
+				t.Fatalf("serving %t after %+v", tr.Serving(), newest)
+			}
+		}
+	})
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -1,10 +1,14 @@
+// Package membership keeps the members of the fleet, as their records in the
+// store tell, and decides which nodes watch the store and when a node has to
+// write its own record again. It does no I/O and reads no clock.
 package membership
 
 import (
-	"fmt"
 	"net/netip"
+	"strings"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
 // State is the state of a member.
@@ -12,91 +16,72 @@
 
 // States of a member.
 const (
-	Alive   State = iota + 1
-	Suspect       // did not answer a probe, may still refute
-	Leaving       // shuts down gracefully, takes no new work
-	Dead          // declared dead by its region
-	Left          // stopped after a graceful shutdown
+	Alive  State = iota + 1
+	Lapsed       // its record is gone; it may still answer
 )
 
-var stateNames = [...]string{"unset", "alive", "suspect", "leaving", "dead", "left"}
-
 // String returns the name used in logs.
 func (s State) String() string {
-	if int(s) < len(stateNames) {
-		return stateNames[s]
+	switch s {
+	case Alive:
+		return "alive"
+	case Lapsed:
+		return "lapsed"
 	}
-	return fmt.Sprintf("state(%d)", uint8(s))
+	return "unset"
 }
 
-// gone reports whether a member in this state is kept only as a tombstone.
-func (s State) gone() bool { return s == Dead || s == Left }
-
-// ProtocolVersion is the version of the membership protocol of this build.
-const ProtocolVersion = 1
-
 // Member is one node and the backend server beside it.
 type Member struct {
-	ID          string // unique per process start
-	Addr        string // TCP address between nodes, IP and port
-	GossipAddr  string // UDP address, IP and port
-	Region      string
-	Domain      string // failure domain
-	Service     string // "" while no backend server has announced itself
-	State       State
-	Incarnation uint64 // raised by the member alone
-	Version     uint32 // protocol version
+	ID      string // unique per process start
+	Addr    string // TCP address between nodes, IP and port
+	Region  string
+	Domain  string // failure domain
+	Service string // "" while no backend server takes work
+	Slots   int    // calls that the backend server executes at once, 0 if not told
+	State   State
+	// Revision of the record in the store. It rises with each statement of the
+	// member about itself.
+	Revision uint64
 }
 
-// Validate returns an error of kind errs.Invalid if m cannot be a member.
-func (m *Member) Validate() error {
-	if m.ID == "" || len(m.ID) > maxNameBytes {
-		return errs.New(errs.Invalid, "give each process start its own short id", "member id %q has %d bytes, allowed are 1 to %d", m.ID, len(m.ID), maxNameBytes)
-	}
-	for _, name := range []string{m.Region, m.Domain, m.Service} {
-		if len(name) > maxNameBytes {
-			return errs.New(errs.Invalid, "use shorter names", "name %q of member %s exceeds %d bytes", name, m.ID, maxNameBytes)
-		}
-	}
-	for _, addr := range []string{m.Addr, m.GossipAddr} {
-		if _, err := netip.ParseAddrPort(addr); err != nil {
-			return errs.Wrap(err, errs.Invalid, "set an IP address and a port", "address %q of member %s", addr, m.ID)
-		}
-	}
-	return nil
-}
+// Prefix of the keys of members in the store; the name of the VM follows.
+const Prefix = "members/"
 
-// maxNameBytes limits ids and names, so that a record always fits a packet.
-const maxNameBytes = 96
+// Key returns the key of the node with that name.
+func Key(node string) string { return Prefix + node }
 
-// EventKind says what changed about a member.
-type EventKind uint8
+// maxNameBytes bounds each name in a record.
+const maxNameBytes = 128
 
-// Kinds of events.
-const (
-	Joined EventKind = iota + 1
-	Updated
-	Suspected
-	Recovered // a suspect or dead member refuted
-	BeganLeaving
-	DeclaredDead
-	DeclaredLeft
-	SelfRefuted // this node was suspected or declared dead and refuted
-	SelfPaused  // this node did not run for a while
-)
-
-var eventNames = [...]string{"unset", "joined", "updated", "suspected", "recovered", "leaving", "dead", "left", "self_refuted", "self_paused"}
-
-// String returns the name used in logs.
-func (k EventKind) String() string {
-	if int(k) < len(eventNames) {
-		return eventNames[k]
-	}
-	return fmt.Sprintf("event(%d)", uint8(k))
+// Encode returns the value of the member's key.
+func (m *Member) Encode() []byte {
+	return wire.Encode(&wire.MemberRecord{
+		Id: m.ID, Addr: m.Addr, Region: m.Region, Domain: m.Domain, Service: m.Service, Slots: uint32(max(m.Slots, 0)),
+	})
 }
 
-// Event is one change for the log.
-type Event struct {
-	Kind   EventKind
-	Member Member
+// Decode reads the value of a member's key, or returns an error of kind
+// errs.Invalid.
+func Decode(key string, value []byte, revision uint64) (Member, error) {
+	var r wire.MemberRecord
+	if err := wire.Decode(value, &r); err != nil {
+		return Member{}, err
+	}
+	m := Member{
+		ID: r.GetId(), Addr: r.GetAddr(), Region: r.GetRegion(), Domain: r.GetDomain(), Service: r.GetService(),
+		Slots: int(r.GetSlots()), State: Alive, Revision: revision,
+	}
+	if !strings.HasPrefix(key, Prefix) || m.ID == "" {
+		return Member{}, errs.New(errs.Invalid, "check who writes below "+Prefix, "record %q names no member", key)
+	}
+	for _, name := range []string{m.ID, m.Region, m.Domain, m.Service} {
+		if len(name) > maxNameBytes {
+			return Member{}, errs.New(errs.Invalid, "use shorter names", "record %q holds a name of %d bytes", key, len(name))
+		}
+	}
+	if _, err := netip.ParseAddrPort(m.Addr); err != nil {
+		return Member{}, errs.Wrap(err, errs.Invalid, "check who writes below "+Prefix, "address %q of record %q", m.Addr, key)
+	}
+	return m, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -24,12 +24,20 @@
 	// after its last work ended, so that the news that it leaves overtakes
 	// the calls that are still sent to it.
 	announceTime = 2 * time.Second
-	stopTimeout  = 5 * time.Second
+	// callersLeaveTime is how long callers of the platform may take until they go
+	// elsewhere: it asks each second whether the node is ready, twice.
+	callersLeaveTime = 2300 * time.Millisecond
+	// graceReserve is left of the grace time for the end of the process.
+	graceReserve = 700 * time.Millisecond
+	// settingsInterval is the time between two looks at the settings file.
+	settingsInterval = time.Second
+	stopTimeout      = 5 * time.Second
 )
 
 // Node is one running node.
 type Node struct {
 	settings *settings.Settings
+	config   string // path of the settings file
 	kernel   *kernel.Kernel
 	log      *zap.Logger
 	writer   *logging.Writer
@@ -44,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, exited: make(chan struct{})}
+	n := &Node{settings: s, config: o.Config, exited: make(chan struct{})}
 	if err := n.openLog(o); err != nil {
 		return nil, err
 	}
@@ -62,7 +70,7 @@
 }
 
 func (n *Node) openLog(o *Options) error {
-	var out io.Writer = os.Stderr
+	var out io.Writer = os.Stdout
 	if o.LogOutput != nil {
 		out = o.LogOutput
 	}
@@ -100,6 +108,7 @@
 	}
 	n.log.Info("node_started", zap.String("node", n.kernel.NodeID), zap.String("region", n.settings.Node.Region),
 		zap.String("failure_domain", n.settings.Node.FailureDomain), zap.String("peer", n.settings.Listen.Peer))
+	go n.watchSettings()
 	select {
 	case <-n.kernel.Drain.Requested():
 		n.Exit()
@@ -119,11 +128,19 @@
 	defer close(n.exited)
 	began := time.Now()
 	n.log.Info("node_leaving", zap.Int("in_flight", n.kernel.Drain.InFlight()))
-	n.kernel.Drain.Leave()
+	limit := n.settings.Backend.DrainTimeout
+	if grace := n.kernel.Bounds.Grace; grace > 0 {
+		limit = min(limit, grace-graceReserve)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	n.kernel.Drain.Close()
 	n.kernel.Target.Leave()
 	n.kernel.Fleet.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.Backend.DrainTimeout)
-	defer cancel()
+	if n.settings.Platform.Callers != "" {
+		n.wait(ctx, callersLeaveTime)
+	}
+	n.kernel.Drain.Leave()
 	cut := n.drain(ctx)
 	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelStop()
@@ -135,14 +152,65 @@
 // drain waits for the work in flight and returns how many requests are left
 // when ctx ends.
 func (n *Node) drain(ctx context.Context) int {
-	settled := time.NewTimer(announceTime)
-	defer settled.Stop()
-	select {
-	case <-settled.C:
-	case <-ctx.Done():
+	if n.settings.Platform.Callers == "" {
+		n.wait(ctx, announceTime)
 	}
 	if err := n.kernel.Drain.Wait(ctx); err != nil {
 		return n.kernel.Drain.InFlight()
 	}
 	return 0
 }
+
+// wait returns after d or when ctx ends.
+func (n *Node) wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// Reload reads the settings again. A file that cannot be read leaves the last
+// good settings in force.
+func (n *Node) Reload() {
+	s, err := settings.Load(n.config)
+	if err != nil {
+		n.log.Error("reload_failed", zap.Error(err))
+		return
+	}
+	n.kernel.Reload(s)
+	n.log.Info("reloaded", zap.String("service", s.Node.Service))
+}
+
+// watchSettings reloads the settings when their file has changed.
+func (n *Node) watchSettings() {
+	last := n.fileState()
+	tick := time.NewTicker(settingsInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-n.exited:
+			return
+		}
+		if now := n.fileState(); now != last {
+			last = now
+			n.Reload()
+		}
+	}
+}
+
+// fileState is what shows that a file has changed.
+type fileState struct {
+	modified time.Time
+	size     int64
+}
+
+func (n *Node) fileState() fileState {
+	info, err := os.Stat(n.config)
+	if err != nil {
+		return fileState{}
+	}
+	return fileState{info.ModTime(), info.Size()}
+}
--- a/node/plugins.go
+++ b/node/plugins.go
@@ -2,13 +2,13 @@
 
 // The plug-ins of every node register themselves.
 import (
+	_ "github.com/dogwoodhatch/dogwoodhatch/platform"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/admin"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/backend"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/caller"
-	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/config"
-	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/datagram"
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/directory"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/entry"
-	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/gossip"
+	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/ingress"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/peer"
 	_ "github.com/dogwoodhatch/dogwoodhatch/plugin/target"
 )
--- a/plugin/admin/admin.go
+++ b/plugin/admin/admin.go
@@ -15,7 +15,6 @@
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/publish"
-	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
 const readHeaderTimeout = 5 * time.Second
@@ -47,13 +46,11 @@
 		Node: a.k.NodeID, Fleet: fleet{a.k}, Drainer: drainer{a.k}, Book: a.k.Policies, Log: a.k.Log,
 		Publisher: noStore{},
 	}
-	if url := a.k.Settings.Store.URL; url != "" {
-		opts := store.DefaultOptions()
-		opts.Timeout = a.k.Settings.Store.Timeout
+	if a.k.Store != nil {
 		cfg := publish.DefaultConfig()
 		cfg.Admins = a.k.Settings.Admin.Admins
 		deps.Publisher = spreading{
-			Publisher: publish.New(store.NewClient(url, opts), cfg, time.Now),
+			Publisher: publish.New(a.k.Store, cfg, time.Now),
 			policies:  a.k.Policies,
 		}
 	}
--- a/plugin/admin/publisher.go
+++ b/plugin/admin/publisher.go
@@ -9,8 +9,8 @@
 	"github.com/dogwoodhatch/dogwoodhatch/publish"
 )
 
-// spreading hands each accepted change to the spread between nodes at once, so
-// that it does not wait for a watcher of the store.
+// spreading lets this node read each accepted change at once, so that it and the
+// nodes around it do not wait for a watcher of the store.
 type spreading struct {
 	*publish.Publisher
 	policies kernel.Policies
@@ -19,41 +19,32 @@
 // PutProfile implements adminapi.Publisher.
 func (s spreading) PutProfile(ctx context.Context, req publish.Request, text []byte) (publish.Outcome, error) {
 	out, err := s.Publisher.PutProfile(ctx, req, text)
-	return s.accepted(ctx, profile.KindProfile, req.Name, out, err)
+	return s.accepted(out, err)
 }
 
 // UndoProfile implements adminapi.Publisher.
 func (s spreading) UndoProfile(ctx context.Context, req publish.Request) (publish.Outcome, error) {
 	out, err := s.Publisher.UndoProfile(ctx, req)
-	return s.accepted(ctx, profile.KindProfile, req.Name, out, err)
+	return s.accepted(out, err)
 }
 
 // DeleteProfile implements adminapi.Publisher.
 func (s spreading) DeleteProfile(ctx context.Context, req publish.Request) (publish.Outcome, error) {
 	out, err := s.Publisher.DeleteProfile(ctx, req)
-	return s.accepted(ctx, profile.KindProfile, req.Name, out, err)
+	return s.accepted(out, err)
 }
 
 // BindService implements adminapi.Publisher.
 func (s spreading) BindService(ctx context.Context, req publish.Request, name string) (publish.Outcome, error) {
 	out, err := s.Publisher.BindService(ctx, req, name)
-	return s.accepted(ctx, profile.KindService, req.Name, out, err)
+	return s.accepted(out, err)
 }
 
-// accepted reads an accepted record back and learns it. A failed read changes
-// nothing for the operator: the watchers bring the record.
-func (s spreading) accepted(ctx context.Context, kind profile.Kind, name string, out publish.Outcome, err error) (publish.Outcome, error) {
-	if err != nil || out.Verdict != publish.Accepted {
-		return out, err
+func (s spreading) accepted(out publish.Outcome, err error) (publish.Outcome, error) {
+	if err == nil && out.Verdict == publish.Accepted {
+		s.policies.Learn()
 	}
-	v, readErr := s.Get(ctx, kind, name)
-	if readErr != nil || v.Record == nil {
-		return out, nil
-	}
-	if value, encErr := v.Record.Encode(); encErr == nil {
-		s.policies.Learn(kind.Key(name), v.Revision, value)
-	}
-	return out, nil
+	return out, err
 }
 
 // noStore answers every change on a node that has no store in its settings.
--- a/plugin/backend/backend_test.go
+++ b/plugin/backend/backend_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 )
 
@@ -57,8 +59,8 @@
 		t.Run(method, func(t *testing.T) {
 			var requests atomic.Int64
 			addr := closingServer(t, &requests)
-			b := newBackend("X-Shed")
-			defer b.client.CloseIdleConnections()
+			b := newBackend(ownDialect{"X-Shed"}, zap.NewNop())
+			defer b.pool.close()
 			req := &kernel.BackendRequest{Method: method, Target: "/", Host: "rates", Header: http.Header{"Idempotency-Key": {"k"}}}
 			resp, _, err := b.Do(context.Background(), addr, req)
 			if err != nil {
@@ -86,7 +88,7 @@
 	ln.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	_, sent, err := newBackend("").Do(ctx, addr, &kernel.BackendRequest{Method: http.MethodPost, Target: "/", Host: "rates", Header: http.Header{}, Body: []byte("x")})
+	_, sent, err := newBackend(ownDialect{}, zap.NewNop()).Do(ctx, addr, &kernel.BackendRequest{Method: http.MethodPost, Target: "/", Host: "rates", Header: http.Header{}, Body: []byte("x")})
 	if err == nil || sent {
 		t.Fatalf("sent=%v error=%v", sent, err)
 	}
--- /dev/null
+++ b/plugin/backend/pool.go
@@ -0,0 +1,159 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
+)
+
+const (
+	// dialTimeout bounds opening a connection on the own VM.
+	dialTimeout = 500 * time.Millisecond
+	// silenceTimeout is how long sent bytes may stay unacknowledged. The backend
+	// server is on the same VM, so a longer silence is no delay of the network.
+	silenceTimeout = 600 * time.Millisecond
+	// maxIdle is how long an unused connection is kept if the backend server does
+	// not tell.
+	maxIdle = 5 * time.Second
+	// onceMaxIdle is the same for a request that must run at most once: a
+	// connection that the backend server closes meanwhile leaves its outcome
+	// unknown.
+	onceMaxIdle = time.Second
+	// keepPart is the part of the told keep-alive time that is used.
+	keepPart = 0.6
+	// maxIdleConns bounds the unused connections to one address.
+	maxIdleConns = 256
+)
+
+// conn is one connection to a backend server.
+type conn struct {
+	net.Conn
+	addr string
+	br   *bufio.Reader
+	keep time.Duration // how long it may stay unused
+	used time.Time     // when its last answer ended
+}
+
+// pool keeps unused connections, the one used last first.
+type pool struct {
+	dialer *net.Dialer
+	mu     sync.Mutex
+	idle   map[string][]*conn // by address, oldest first
+	closed bool
+}
+
+func newPool() *pool {
+	return &pool{dialer: sockopt.Dialer(dialTimeout, silenceTimeout), idle: map[string][]*conn{}}
+}
+
+// get returns an unused connection that is thought to live, or a new one.
+func (p *pool) get(ctx context.Context, addr string, idempotent, fresh bool) (*conn, error) {
+	for !fresh {
+		c := p.take(addr)
+		if c == nil {
+			break
+		}
+		idle := time.Since(c.used)
+		if idle < c.keep && (idempotent || idle < onceMaxIdle) && quiet(c.Conn) {
+			return c, nil
+		}
+		c.Close()
+	}
+	nc, err := p.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: nc, addr: addr, br: reader(nc)}, nil
+}
+
+func (p *pool) take(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+// put keeps a connection for later, and gives up those that are too old.
+func (p *pool) put(c *conn) {
+	c.used = time.Now()
+	p.mu.Lock()
+	list := append(p.idle[c.addr], c)
+	drop := 0
+	for drop < len(list) && (c.used.Sub(list[drop].used) > list[drop].keep || len(list)-drop > maxIdleConns) {
+		drop++
+	}
+	old := list[:drop:drop]
+	p.idle[c.addr] = list[drop:]
+	if p.closed {
+		old = append(old, p.idle[c.addr]...)
+		delete(p.idle, c.addr)
+	}
+	p.mu.Unlock()
+	for _, o := range old {
+		o.Close()
+	}
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	all := p.idle
+	p.idle = map[string][]*conn{}
+	p.mu.Unlock()
+	for _, list := range all {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
+
+// quiet reports whether nothing waits to be read on an unused connection: bytes
+// would belong to no request, and its end would lose the next one.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peeked error
+	var buf [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, peeked = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && (peeked == syscall.EAGAIN || peeked == syscall.EWOULDBLOCK)
+}
+
+// keepAlive returns how long a connection may stay unused after an answer.
+func keepAlive(h http.Header) time.Duration {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seconds, err := strconv.Atoi(value); strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
+			return min(maxIdle, time.Duration(float64(seconds)*keepPart*float64(time.Second)))
+		}
+	}
+	return maxIdle
+}
+
+func writeLength(buf *bytes.Buffer, n int) {
+	buf.WriteString("Content-Length: ")
+	buf.WriteString(strconv.Itoa(n))
+	buf.WriteString("\r\n")
+}
--- a/plugin/backend/setup.go
+++ b/plugin/backend/setup.go
@@ -10,7 +10,11 @@
 func init() { kernel.Register("backend", kernel.StageTransport, setup) }
 
 func setup(k *kernel.Kernel) (kernel.Plugin, error) {
-	b := newBackend(k.Settings.Backend.ShedHeader)
+	dialect := k.Dialect
+	if dialect == nil {
+		dialect = ownDialect{k.Settings.Backend.ShedHeader}
+	}
+	b := newBackend(dialect, k.Log)
 	k.Backend = b
 	return b, nil
 }
@@ -20,6 +24,6 @@
 
 // Stop implements kernel.Plugin.
 func (b *backend) Stop(context.Context) error {
-	b.client.CloseIdleConnections()
+	b.pool.close()
 	return nil
 }
--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -6,16 +6,13 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
-	"github.com/dogwoodhatch/dogwoodhatch/plugin/peer"
 	"github.com/dogwoodhatch/dogwoodhatch/retry"
 	"github.com/dogwoodhatch/dogwoodhatch/routing"
 	"github.com/dogwoodhatch/dogwoodhatch/settings"
-	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
 const (
@@ -75,7 +72,7 @@
 	share    *retry.Share
 	tried    []string
 	attempts int
-	granted  int            // retry allowance that travels with the current attempt
+	reached  int            // attempts that may have reached a backend server
 	unknown  *kernel.Answer // an earlier attempt that may have run
 	claims   []claim
 }
@@ -110,13 +107,13 @@
 		if refusal.Reason != call.ReasonNone {
 			return r.final(refusedAnswer(refusal))
 		}
-		r.logRoute(choice)
-		ans := r.try(ctx, choice)
+		ans := r.send(ctx, choice)
 		if ans.Outcome == call.Answered && !r.naiveRetry(ctx, ans) {
 			return ans
 		}
 		if ans.Outcome == call.Unknown {
 			r.unknown = ans
+			r.Chain.Repeat = true
 		}
 		if !r.retry(ctx, ans, choice.Expected) {
 			return r.final(ans)
@@ -160,13 +157,21 @@
 	return again
 }
 
+// mayReach reports whether another backend server may get the request.
+func (r *request) mayReach() bool {
+	return r.Chain.MaxSends == 0 || r.reached < r.Chain.MaxSends
+}
+
 // retry decides about another attempt and waits the backoff.
 func (r *request) retry(ctx context.Context, ans *kernel.Answer, expected time.Duration) bool {
 	if r.c.naive {
 		return r.attempts <= naiveRetries && ctx.Err() == nil
 	}
+	if !r.mayReach() {
+		return false
+	}
 	d := r.s.decide(ans.Result, r.Chain.Idempotent, r.attempts, time.Until(r.Chain.Deadline), expected, r.share)
-	r.c.log.Info("retry", zap.String("service", r.Service), zap.String("chain", r.Chain.ID.String()), zap.Bool("retry", d.Retry),
+	r.c.log.Info("retry", zap.String("request", r.Chain.RequestID), zap.String("service", r.Service), zap.String("chain", r.Chain.ID.String()), zap.Bool("retry", d.Retry),
 		zap.String("rule", d.Rule), zap.Duration("delay", d.Delay), zap.Stringer("outcome", ans.Outcome), zap.String("reason", string(ans.Reason)))
 	if !d.Retry {
 		return false
@@ -182,100 +187,15 @@
 	}
 }
 
-// try makes one attempt and learns from its ending.
-func (r *request) try(ctx context.Context, choice routing.Choice) *kernel.Answer {
-	r.attempts++
-	r.tried = append(r.tried, choice.Member.Node)
-	id := uuid.New()
-	timeout := r.attemptTimeout()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	began := time.Now()
-	ans := r.send(ctx, choice.Member.Addr, r.head(id, timeout))
-	r.prove(choice.Member.Addr, id, ans)
-	ans.Latency = time.Since(began)
-	r.settle(ans)
-	r.s.finish(choice.Member.Node, r.Chain.Priority, ans.Result, r.c.naive)
-	if ans.Body == nil {
-		cancel()
-		return ans
-	}
-	ans.Body = &cancelBody{ReadCloser: ans.Body, cancel: cancel}
-	return ans
-}
-
-// attemptTimeout leaves room for a retry where one is possible, so that a
-// connection that went silent does not use up the deadline.
-func (r *request) attemptTimeout() time.Duration {
-	left := time.Until(r.Chain.Deadline)
-	if r.Chain.Idempotent && r.Allowance.Left() > 0 && !r.c.naive {
-		return left * 2 / 3
-	}
-	return left
-}
-
-func (r *request) head(id call.ID, timeout time.Duration) *wire.CallHead {
-	r.granted = r.share.Grant()
-	return &wire.CallHead{
-		AttemptId: id[:], ChainId: r.Chain.ID[:], Service: r.Service, Class: r.Chain.Class,
-		Priority: uint32(r.Chain.Priority), Idempotent: r.Chain.Idempotent,
-		TimeoutMs: uint32(max(timeout.Milliseconds(), 0)), Retries: uint32(r.granted),
-		Method: r.Method, Target: r.Target, Headers: peer.EncodeHeader(r.Header), BodyBytes: uint32(len(r.Body)),
-		SourceNode: r.c.k.NodeID, IdempotencyKey: r.IdempotencyKey, Depth: uint32(r.Chain.Depth + 1),
-	}
-}
-
-// send makes the attempt and holds the answer until it is whole, up to the
-// buffer size.
-func (r *request) send(ctx context.Context, addr string, head *wire.CallHead) *kernel.Answer {
-	ans, err := r.c.k.Transport.Call(ctx, addr, &kernel.Attempt{Head: head, Body: r.Body})
-	if err != nil {
-		return &kernel.Answer{Result: call.Result{Outcome: call.Refused, Reason: call.ReasonConnect}}
-	}
-	if ans.Outcome != call.Answered {
-		return ans
-	}
-	return hold(ctx, ans, r.c.buffer, r.c.whole)
-}
-
-// prove asks the target to withdraw a lost attempt; when the target promises
-// that it never ran, it counts as refused.
-func (r *request) prove(addr string, id call.ID, ans *kernel.Answer) {
-	if ans.Outcome != call.Unknown || ans.Reason != call.ReasonConnLost || !r.c.withdraw {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-	defer cancel()
-	never, err := r.c.k.Transport.Withdraw(ctx, addr, id)
-	r.c.log.Info("withdraw", zap.String("attempt", id.String()), zap.String("addr", addr), zap.Bool("never_ran", never), zap.Error(err))
-	if err == nil && never {
-		ans.Outcome = call.Refused
-		ans.Reason = call.ReasonWithdrawn
-	}
-}
-
-// settle accounts for the retry allowance that travelled with the attempt.
-func (r *request) settle(ans *kernel.Answer) {
-	switch {
-	case ans.Trailer != nil && ans.Trailer.Done:
-		r.share.Return(ans.Trailer.RetriesLeft)
-	case ans.Outcome == call.Refused:
-		// Nothing ran, so nothing of what travelled can have been spent.
-		r.share.Return(r.granted)
-	default:
-		r.c.meters.forfeited.Inc(int64(r.granted))
-		r.share.Forfeit()
-	}
-}
-
 func (r *request) logRoute(c routing.Choice) {
-	r.c.log.Info("route", zap.String("service", r.Service), zap.String("class", r.Chain.Class), zap.String("chain", r.Chain.ID.String()),
-		zap.Int("attempt", r.attempts+1), zap.String("member", c.Member.Node), zap.String("region", c.Member.Region), zap.String("rule", c.Rule),
+	r.c.log.Info("route", zap.String("request", r.Chain.RequestID), zap.String("service", r.Service), zap.String("class", r.Chain.Class), zap.String("chain", r.Chain.ID.String()),
+		zap.Int("attempt", r.attempts), zap.String("member", c.Member.Node), zap.String("region", c.Member.Region), zap.String("rule", c.Rule),
 		zap.Float64("score", c.Score), zap.String("runner_up", c.RunnerUp), zap.Float64("runner_up_score", c.RunnerUpScore),
 		zap.Int("candidates", c.Candidates))
 }
 
 func (c *caller) logEnd(r *request, ans *kernel.Answer) {
-	c.log.Info("request", zap.String("service", r.Service), zap.String("class", r.Chain.Class), zap.String("chain", r.Chain.ID.String()),
+	c.log.Info("request", zap.String("request", r.Chain.RequestID), zap.String("service", r.Service), zap.String("class", r.Chain.Class), zap.String("chain", r.Chain.ID.String()),
 		zap.Stringer("outcome", ans.Outcome), zap.String("reason", string(ans.Reason)), zap.Int("status", ans.Status),
 		zap.Int("attempts", r.attempts), zap.Duration("left", time.Until(r.Chain.Deadline)))
 }
--- a/plugin/caller/service.go
+++ b/plugin/caller/service.go
@@ -63,7 +63,7 @@
 	for _, m := range s.members {
 		list = append(list, routing.Member{
 			Node: m.ID, Addr: m.Addr, Region: m.Region, Domain: m.Domain,
-			Leaving: m.State == membership.Leaving, Suspect: m.State == membership.Suspect, Incarnation: m.Incarnation,
+			Suspect: m.State == membership.Lapsed, Incarnation: m.Revision,
 		})
 	}
 	s.router.Update(list, now)
@@ -117,6 +117,13 @@
 	return retry.Decide(retry.DefaultConfig(), res, idempotent, attempt, left, expected, share, s.budget, s.rng, time.Now())
 }
 
+// takeRetry spends one retry of the share and of the service's budget.
+func (s *service) takeRetry(share *retry.Share) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return share.TakeBoth(s.budget, time.Now())
+}
+
 // memberIDs returns the nodes that announced the service.
 func (s *service) memberIDs(fleet kernel.Fleet) map[string]string {
 	s.mu.Lock()
--- a/plugin/entry/answer.go
+++ b/plugin/entry/answer.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,9 +8,13 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/edge"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 )
 
+// HeaderRequestID names a request in the logs; callers may set it.
+const HeaderRequestID = "X-Request-Id"
+
 // Headers that tell a caller how its request ended.
 const (
 	HeaderOutcome    = "Dogwoodhatch-Outcome" // answered, refused or unknown
@@ -39,27 +42,11 @@
 // writeAnswer copies a whole answer. One that breaks off after its head was
 // passed on ends the connection, so that it never looks whole.
 func (e *entry) writeAnswer(w http.ResponseWriter, r *http.Request, req *kernel.Request, ans *kernel.Answer) {
-	defer ans.Body.Close()
-	h := w.Header()
-	for name, values := range ans.Header {
-		h[name] = values
-	}
-	// The length of an answer without a body (HEAD, 304) describes another one.
-	length := h.Get("Content-Length")
-	if ans.Length > 0 || length == "" && ans.Length == 0 && r.Method != http.MethodHead {
-		length = strconv.FormatInt(ans.Length, 10)
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-	removeOwn(h)
-	h.Set(HeaderOutcome, call.Answered.String())
-	// A declared length lets the caller see that a streamed answer broke off.
-	if length != "" {
-		h.Set("Content-Length", length)
-	}
-	w.WriteHeader(ans.Status)
-	if _, err := io.Copy(w, ans.Body); err != nil {
+	err := edge.WriteAnswer(w, r, ans, func(h http.Header) {
+		removeOwn(h)
+		h.Set(HeaderOutcome, call.Answered.String())
+	})
+	if err != nil {
 		e.log.Warn("answer_broke_off", zap.String("service", req.Service), zap.String("chain", req.Chain.ID.String()), zap.Error(err))
 		panic(http.ErrAbortHandler)
 	}
--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -5,20 +5,17 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/dogwoodhatch/dogwoodhatch/edge"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/settings"
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 90 * time.Second
-	maxHeaderBytes    = 64 << 10
-	maxAnnounceBytes  = 4 << 10
+	maxAnnounceBytes = 4 << 10
 
 	// BackendPath is where the backend server announces itself on the local listener.
 	BackendPath = "/dogwoodhatch/v1/backend"
@@ -30,7 +27,7 @@
 	log     *zap.Logger
 	context bool // sub-calls inherit from the execution that makes them
 	bound   bool // one retry allowance covers the whole chain
-	servers []*http.Server
+	servers []*edge.Server
 }
 
 func newEntry(k *kernel.Kernel) *entry {
@@ -39,10 +36,15 @@
 
 // Start implements kernel.Plugin.
 func (e *entry) Start(context.Context) error {
-	outside := http.NewServeMux()
-	outside.HandleFunc("/", e.serveOutside)
-	if err := e.listen(e.k.Settings.Listen.Outside, "outside", outside); err != nil {
-		return err
+	if e.k.Settings.Listen.Outside != "" {
+		outside := http.NewServeMux()
+		outside.HandleFunc("/", e.serveOutside)
+		if err := e.listen(e.k.Settings.Listen.Outside, "outside", outside); err != nil {
+			return err
+		}
+	}
+	if e.k.Settings.Listen.Local == "" {
+		return nil
 	}
 	local := http.NewServeMux()
 	local.HandleFunc("PUT "+BackendPath, e.serveAnnounce)
@@ -56,12 +58,15 @@
 	if err != nil {
 		return errs.Wrap(err, errs.Unavailable, "free the port or change "+key+" in section listen", "cannot listen for callers on %s", addr)
 	}
-	srv := &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(e.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
+	opts := edge.DefaultServerOptions()
+	opts.MaxBodyBytes = func() int64 { return int64(max(e.k.Settings.Limits.MaxRequestBytes, maxAnnounceBytes)) }
+	srv := edge.NewServer(h, opts, e.log)
 	e.servers = append(e.servers, srv)
-	go srv.Serve(ln)
+	go func() {
+		if err := srv.Serve(ln); err != http.ErrServerClosed {
+			e.log.Error("listener_failed", zap.String("addr", addr), zap.Error(err))
+		}
+	}()
 	return nil
 }
 
--- a/plugin/entry/request.go
+++ b/plugin/entry/request.go
@@ -7,10 +7,9 @@
 	"strconv"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/dogwoodhatch/dogwoodhatch/baggage"
 	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/edge"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/plugin/backend"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
@@ -71,7 +70,7 @@
 // begin sets the chain of a first request.
 func (e *entry) begin(req *kernel.Request, c *profile.Class, r *http.Request) {
 	req.Chain = call.Chain{
-		ID: uuid.New(), Class: c.Name, Priority: c.Priority, Idempotent: c.Idempotent,
+		ID: call.NewID(), RequestID: r.Header.Get(HeaderRequestID), Class: c.Name, Priority: c.Priority, Idempotent: c.Idempotent,
 		Deadline: time.Now().Add(callerTimeout(r, c.Deadline)),
 	}
 	req.Allowance = retry.NewAllowance(c.Retries)
@@ -108,21 +107,9 @@
 	}, true
 }
 
-// hopByHop headers belong to one connection (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
 // forwardHeader returns the headers that are passed on.
 func forwardHeader(h http.Header) http.Header {
-	out := h.Clone()
-	for _, name := range h.Values("Connection") {
-		out.Del(name)
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
+	out := edge.ForwardHeader(h)
 	removeOwn(out)
 	return out
 }
--- a/plugin/peer/client.go
+++ b/plugin/peer/client.go
@@ -20,6 +20,7 @@
 // Call sends an attempt and returns when the head of the answer has arrived or
 // the attempt is lost.
 func (p *pool) Call(ctx context.Context, addr string, a *kernel.Attempt) (*kernel.Answer, error) {
+	a.Head.StateRevision = p.replica.Revision()
 	buf, err := encodeRequest(&wire.StreamHead{Kind: &wire.StreamHead_Call{Call: a.Head}}, a.Body)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Internal, "report this fault", "attempt cannot be encoded")
@@ -38,6 +39,7 @@
 		r.Close()
 		return lost(ctx, err), nil
 	}
+	p.replica.Heard(addr, head.GetStateRevision())
 	return r.answer(head), nil
 }
 
@@ -165,9 +167,9 @@
 }
 
 // Withdraw implements kernel.Transport.
-func (p *pool) Withdraw(ctx context.Context, addr string, attempt call.ID) (bool, error) {
+func (p *pool) Withdraw(ctx context.Context, addr, node string, attempt call.ID) (bool, error) {
 	var reply wire.WithdrawReply
-	head := &wire.StreamHead{Kind: &wire.StreamHead_Withdraw{Withdraw: &wire.Withdraw{AttemptId: attempt[:]}}}
+	head := &wire.StreamHead{Kind: &wire.StreamHead_Withdraw{Withdraw: &wire.Withdraw{AttemptId: attempt[:], TargetNode: node}}}
 	if err := p.ask(ctx, addr, head, &reply); err != nil {
 		return false, err
 	}
--- a/plugin/peer/config.go
+++ b/plugin/peer/config.go
@@ -12,6 +12,9 @@
 	// DialTimeout bounds opening a connection. A short one finds a dead VM
 	// sooner; it must exceed the round trip between regions.
 	DialTimeout time.Duration
+	// SilenceTimeout is how long sent bytes may stay unacknowledged before the
+	// connection is given up. It must exceed some lost packets on a link.
+	SilenceTimeout time.Duration
 	// SilenceLimit is how long a session with calls in flight may stay without
 	// a byte from the other side before it is probed. A short one costs pings
 	// on calls that are merely slow.
@@ -38,11 +41,12 @@
 // DefaultConfig suits links of up to 40 ms round trip.
 func DefaultConfig() Config {
 	return Config{
-		DialTimeout:   500 * time.Millisecond,
-		SilenceLimit:  150 * time.Millisecond,
-		ProbeTimeout:  500 * time.Millisecond,
-		CheckInterval: 50 * time.Millisecond,
-		IdleTimeout:   5 * time.Minute,
+		DialTimeout:    500 * time.Millisecond,
+		SilenceTimeout: 900 * time.Millisecond,
+		SilenceLimit:   150 * time.Millisecond,
+		ProbeTimeout:   500 * time.Millisecond,
+		CheckInterval:  50 * time.Millisecond,
+		IdleTimeout:    5 * time.Minute,
 
 		StreamIdleTimeout: 10 * time.Second,
 
--- a/plugin/peer/pool.go
+++ b/plugin/peer/pool.go
@@ -12,6 +12,8 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
 )
 
 // pool keeps one session to each node that this node calls.
@@ -20,6 +22,9 @@
 	log    *zap.Logger
 	source string
 	ycfg   *yamux.Config
+	// replica tells and hears the state revisions that messages carry.
+	replica kernel.Replica
+	dialer  *net.Dialer
 	// control counts the bytes of exchanges of the control state.
 	control metrics.Counter
 
@@ -36,10 +41,11 @@
 	err  error
 }
 
-func newPool(cfg Config, source string, log *zap.Logger, reg metrics.Registry) *pool {
+func newPool(cfg Config, k *kernel.Kernel) *pool {
 	return &pool{
-		cfg: cfg, log: log, source: source, ycfg: cfg.yamuxConfig(log),
-		control:  metrics.GetOrRegisterCounter("control.exchange_bytes", reg),
+		cfg: cfg, log: k.Log, source: k.NodeID, ycfg: cfg.yamuxConfig(k.Log), replica: k.Replica,
+		dialer:   sockopt.Dialer(cfg.DialTimeout, cfg.SilenceTimeout),
+		control:  metrics.GetOrRegisterCounter("control.exchange_bytes", k.Metrics),
 		sessions: map[string]*session{}, dials: map[string]*dial{},
 	}
 }
@@ -104,7 +110,7 @@
 }
 
 func (p *pool) dial(addr string) (*session, error) {
-	conn, err := net.DialTimeout("tcp", addr, p.cfg.DialTimeout)
+	conn, err := p.dialer.Dial("tcp", addr)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Unavailable, "retry at another node", "node %s does not accept connections", addr)
 	}
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -17,6 +17,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
@@ -38,7 +39,7 @@
 
 func newPeer(cfg Config, k *kernel.Kernel) *peer {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &peer{cfg: cfg, k: k, pool: newPool(cfg, k.NodeID, k.Log, k.Metrics), ctx: ctx, cancel: cancel, sessions: map[*yamux.Session]struct{}{}}
+	return &peer{cfg: cfg, k: k, pool: newPool(cfg, k), ctx: ctx, cancel: cancel, sessions: map[*yamux.Session]struct{}{}}
 }
 
 // Start implements kernel.Plugin.
@@ -81,6 +82,9 @@
 }
 
 func (p *peer) serveConn(conn net.Conn) {
+	if err := sockopt.Guard(conn, p.cfg.SilenceTimeout); err != nil {
+		p.k.Log.Warn("peer_connection_unguarded", zap.Stringer("remote", conn.RemoteAddr()), zap.Error(err))
+	}
 	mux, err := yamux.Server(conn, p.cfg.yamuxConfig(p.k.Log))
 	if err != nil {
 		conn.Close()
@@ -131,7 +135,7 @@
 		if err != nil {
 			return p.reject(st, err)
 		}
-		protodelim.MarshalTo(st, &wire.WithdrawReply{NeverRan: p.k.Target.Withdraw(id)})
+		protodelim.MarshalTo(st, &wire.WithdrawReply{NeverRan: p.k.Target.Withdraw(kind.Withdraw.GetTargetNode(), id)})
 	case *wire.StreamHead_Claim:
 		protodelim.MarshalTo(st, p.k.Target.Claim(kind.Claim))
 	case *wire.StreamHead_Release:
@@ -179,7 +183,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(head.GetTimeoutMs())*time.Millisecond)
 	defer cancel()
 	next := watchSource(br, cancel)
-	w := &answerWriter{bw: bufio.NewWriterSize(st, chunkBytes), hash: xxhash.New()}
+	w := &answerWriter{bw: bufio.NewWriterSize(st, writeBufferBytes), hash: xxhash.New(), revision: p.k.Replica.Revision()}
 	res := p.k.Target.Serve(ctx, head, body, w)
 	w.finish(res)
 	return w.err == nil && <-next
@@ -198,13 +202,18 @@
 	return next
 }
 
+// writeBufferBytes holds a small answer with its head and end, so that it leaves
+// as one write.
+const writeBufferBytes = 8 << 10
+
 // answerWriter sends the frames of one answer.
 type answerWriter struct {
-	bw      *bufio.Writer
-	hash    *xxhash.Digest
-	bytes   uint64
-	started bool
-	err     error
+	bw       *bufio.Writer
+	hash     *xxhash.Digest
+	bytes    uint64
+	started  bool
+	err      error
+	revision uint64 // of the state that this node knows
 }
 
 // WriteHead implements kernel.AnswerWriter.
@@ -216,6 +225,7 @@
 
 func (w *answerWriter) writeHead(h *wire.AnswerHead) error {
 	w.started = true
+	h.StateRevision = w.revision
 	return w.send(&wire.AnswerFrame{Kind: &wire.AnswerFrame_Head{Head: h}})
 }
 
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -6,7 +6,6 @@
 	"io"
 	"time"
 
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/admission"
@@ -68,7 +67,7 @@
 	default:
 		t.unknown.Mark(1)
 	}
-	t.log.Info("attempt", zap.String("service", head.GetService()), zap.String("class", head.GetClass()),
+	t.log.Info("attempt", zap.String("request", head.GetRequestId()), zap.String("service", head.GetService()), zap.String("class", head.GetClass()),
 		zap.Stringer("outcome", res.Outcome), zap.String("reason", string(res.Reason)), zap.Int("status", res.Status),
 		zap.Int("limit", res.Pressure.Limit), zap.Int("in_flight", res.Pressure.InFlight), zap.Int("queued", res.Pressure.Queued),
 		zap.Duration("took", time.Since(began)))
@@ -193,15 +192,20 @@
 	if !t.registry.Started(a.id, a.began) {
 		return "", false
 	}
-	token := uuid.NewString()
+	token := call.NewID().String()
 	chain, _ := call.ParseID(a.head.GetChainId())
-	t.running[token] = &kernel.Execution{
+	e := &kernel.Execution{
 		Allowance: a.allowance,
 		Chain: call.Chain{
 			ID: chain, Class: a.head.GetClass(), Priority: call.Priority(a.head.GetPriority()),
 			Idempotent: a.head.GetIdempotent(), Deadline: a.deadline, Depth: int(a.head.GetDepth()),
+			RequestID: a.head.GetRequestId(), Origin: a.head.GetOrigin(), Cohort: a.head.GetCohort(), Repeat: a.head.GetRepeat(),
 		},
 	}
+	t.running[token] = e
+	if e.Chain.RequestID != "" {
+		t.requests[e.Chain.RequestID] = e
+	}
 	return token, true
 }
 
@@ -210,6 +214,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.running, token)
+	delete(t.requests, a.head.GetRequestId())
 	if res.Outcome == call.Refused {
 		t.registry.Refused(a.id, time.Now())
 		return
@@ -238,15 +243,21 @@
 // exchange sends the request and copies the answer.
 func (a *attempt) exchange(ctx context.Context, token string, w kernel.AnswerWriter) (call.Result, admission.Sample) {
 	resp, sent, err := a.t.k.Backend.Do(ctx, a.backend.Address, &kernel.BackendRequest{
-		Method: a.head.GetMethod(), Target: a.head.GetTarget(), Host: a.head.GetService(),
+		Method: a.head.GetMethod(), Target: a.head.GetTarget(), Host: host(a.head),
 		Header: peer.DecodeHeader(a.head.GetHeaders()), Body: a.body,
-		TimeoutMS: time.Until(a.deadline).Milliseconds(), Token: token,
+		TimeoutMS: time.Until(a.deadline).Milliseconds(), Token: token, RequestID: a.head.GetRequestId(),
+		Instance: a.backend.Instance, Origin: a.head.GetOrigin(), Idempotent: a.head.GetIdempotent(),
+		Fresh: a.head.GetRepeat(),
 	})
 	if err != nil {
 		return a.failed(ctx, sent, err)
 	}
 	defer resp.Body.Close()
-	if resp.Shed {
+	if resp.Other {
+		a.t.replaced(a.backend)
+		return refused(call.ReasonMisdirected, 0), admission.Sample{Canceled: true}
+	}
+	if resp.NotRun {
 		return refused(call.ReasonShed, 0), admission.Sample{Shed: true}
 	}
 	res := call.Result{Outcome: call.Answered, Status: resp.Status}
@@ -260,6 +271,14 @@
 	return res, admission.Sample{Failed: resp.Status >= 500}
 }
 
+// host returns the host that the caller named, or the service.
+func host(h *wire.CallHead) string {
+	if name := h.GetHost(); name != "" {
+		return name
+	}
+	return h.GetService()
+}
+
 // failed judges a call that got no answer. Only a call that never got a
 // connection is known not to have run.
 func (a *attempt) failed(ctx context.Context, sent bool, err error) (call.Result, admission.Sample) {
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/execution"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/lifecycle"
 	"github.com/dogwoodhatch/dogwoodhatch/settings"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
@@ -38,11 +39,13 @@
 	ctrl     *admission.Controller
 	registry *execution.Registry
 	claims   *execution.Claims
+	tracker  lifecycle.Tracker
 	backend  kernel.BackendInfo
 	up       bool // a backend server has announced itself
 	leaving  bool
 	renewed  time.Time
-	running  map[string]*kernel.Execution
+	running  map[string]*kernel.Execution // by token
+	requests map[string]*kernel.Execution // by the caller's id of the request
 	views    *execution.Views
 	seen     uint64 // version of the fleet that views knows
 }
@@ -58,6 +61,7 @@
 		claims:   execution.NewClaims(execution.DefaultClaimsConfig(), time.Time{}),
 		views:    execution.NewViews(k.NodeID, ClaimHolders, execution.DefaultClaimsConfig().ClockSkew),
 		running:  map[string]*kernel.Execution{},
+		requests: map[string]*kernel.Execution{},
 		answered: metrics.GetOrRegisterMeter("target.answered", k.Metrics),
 		refused:  metrics.GetOrRegisterMeter("target.refused", k.Metrics),
 		unknown:  metrics.GetOrRegisterMeter("target.unknown", k.Metrics),
@@ -135,18 +139,55 @@
 	}
 }
 
+// Report implements kernel.Target.
+func (t *target) Report(r lifecycle.Report) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change := t.tracker.Take(r, now)
+	if change != lifecycle.Renewed {
+		t.log.Info("backend_report", zap.Stringer("change", change), zap.String("instance", r.Instance), zap.Int64("born", r.Born),
+			zap.Int64("sequence", r.Sequence), zap.String("service", r.Service), zap.Bool("draining", r.Draining), zap.Duration("cold", r.Cold))
+	}
+	switch change {
+	case lifecycle.Started, lifecycle.Renewed:
+		if t.tracker.Serving() {
+			t.announce(kernel.BackendInfo{Instance: r.Instance, Service: r.Service, Address: r.Address, Slots: r.Slots}, now)
+		}
+	case lifecycle.Ended:
+		t.withdraw(now)
+	}
+}
+
+// Departed implements kernel.Target.
+func (t *target) Departed(instance string, born int64) {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change := t.tracker.Leave(instance, born, now)
+	t.log.Info("backend_departed", zap.Stringer("change", change), zap.String("instance", instance), zap.Int64("born", born))
+	if change == lifecycle.Ended {
+		t.withdraw(now)
+	}
+}
+
 // Announce implements kernel.Target.
 func (t *target) Announce(b kernel.BackendInfo) {
-	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.announce(b, time.Now())
+}
+
+// announce serves a backend server; the caller holds mu.
+func (t *target) announce(b kernel.BackendInfo, now time.Time) {
 	t.renewed = now
 	if t.leaving || t.up && t.backend == b {
 		return
 	}
-	if t.up && t.backend.Service == b.Service && t.backend.Address == b.Address {
+	if t.up && t.backend.Service == b.Service && t.backend.Address == b.Address && t.backend.Instance == b.Instance {
 		t.backend = b
 		t.ctrl.Hint(b.Slots, now)
+		t.k.Fleet.Announce(b.Service, b.Slots)
 		return
 	}
 	if t.up {
@@ -154,14 +195,21 @@
 	}
 	t.backend = b
 	t.up = true
-	t.ctrl = admission.New(t.admissionConfig(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
+	t.ctrl = admission.New(t.admissionConfig(b.Slots), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
 	t.ctrl.Hint(b.Slots, now)
-	t.log.Info("backend_announced", zap.String("service", b.Service), zap.String("addr", b.Address),
+	t.log.Info("backend_announced", zap.String("service", b.Service), zap.String("instance", b.Instance), zap.String("addr", b.Address),
 		zap.Int("slots", b.Slots), zap.Int("connections", b.Connections))
-	t.k.Fleet.Announce(b.Service)
+	t.k.Fleet.Announce(b.Service, b.Slots)
 }
 
-func (t *target) admissionConfig() admission.Config { return admission.DefaultConfig() }
+// admissionConfig returns the settings for a backend server of that many slots.
+func (t *target) admissionConfig(slots int) admission.Config {
+	cfg := admission.DefaultConfig()
+	if t.k.Settings.Backend.TrustSlots && slots > 0 {
+		cfg.FixLimit(slots)
+	}
+	return cfg
+}
 
 // Withdrawn implements kernel.Target: queued calls are refused as not run,
 // running ones end by themselves.
@@ -171,6 +219,16 @@
 	t.withdraw(time.Now())
 }
 
+// replaced ends serving a backend server whose address another one has.
+func (t *target) replaced(b kernel.BackendInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.up && t.backend == b {
+		t.log.Warn("backend_replaced", zap.String("instance", b.Instance), zap.String("addr", b.Address))
+		t.withdraw(time.Now())
+	}
+}
+
 // withdraw ends serving the backend server; the caller holds mu.
 func (t *target) withdraw(now time.Time) {
 	if !t.up {
@@ -179,7 +237,7 @@
 	t.up = false
 	t.log.Info("backend_withdrawn", zap.String("service", t.backend.Service), zap.Int("running", len(t.running)))
 	t.deliver(t.ctrl.Leave(now))
-	t.k.Fleet.Announce("")
+	t.k.Fleet.Announce("", 0)
 }
 
 // Leave starts the graceful shutdown of the target role.
@@ -212,8 +270,20 @@
 	return e, ok
 }
 
-// Withdraw implements kernel.Target.
-func (t *target) Withdraw(attempt call.ID) bool {
+// LookupRequest implements kernel.Executions.
+func (t *target) LookupRequest(id string) (*kernel.Execution, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.requests[id]
+	return e, ok
+}
+
+// Withdraw implements kernel.Target. A process that was started since knows
+// nothing of what its predecessor ran.
+func (t *target) Withdraw(node string, attempt call.ID) bool {
+	if node != t.k.NodeID {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.registry.Withdraw(attempt, time.Now())
--- a/profile/profile.go
+++ b/profile/profile.go
@@ -32,6 +32,10 @@
 	// that is not idempotent is sent again only after proof that it did not run.
 	Idempotent bool
 
+	// Objective is the time within which an answer is worth most; 0 if only the
+	// deadline counts.
+	Objective time.Duration
+
 	// Methods are the HTTP methods that match; empty matches every method.
 	Methods []string
 
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -11,8 +11,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/platform/kv"
+	"github.com/dogwoodhatch/dogwoodhatch/platform/kv/standin"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
-	standin "github.com/dogwoodhatch/dogwoodhatch/standin/store"
 	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
@@ -206,21 +207,24 @@
 }
 
 // server returns a publisher to a stand-in store over HTTP.
-func server(t *testing.T, cfg Config) (*standin.Server, *Publisher) {
+func server(t *testing.T, cfg Config) (*standin.Door, *Publisher) {
 	t.Helper()
-	s := standin.New(standin.DefaultConfig())
+	s := standin.New(standin.DefaultConfig()).NewDoor()
 	h := httptest.NewServer(s)
 	t.Cleanup(func() { h.CloseClientConnections(); h.Close() })
-	opts := store.DefaultOptions()
+	opts := kv.DefaultOptions()
 	opts.Timeout = 400 * time.Millisecond
 	cfg.Backoff = time.Millisecond
-	return s, New(store.NewClient(h.URL, opts), cfg, time.Now)
+	return s, New(kv.NewClient(h.URL, opts), cfg, time.Now)
 }
 
 func request(author, name string, base uint64) Request {
 	return Request{ID: uuid.New(), Author: author, Name: name, Base: base, Create: base == 0}
 }
 
+// firstRevision is that of the first write to the stand-in of the store.
+const firstRevision = 2
+
 const text = "[default]\nretries = 1\n"
 
 func TestLostAnswersOverHTTP(t *testing.T) {
@@ -228,15 +232,15 @@
 	ctx := context.Background()
 	s.SetFaults(standin.Faults{LoseAnswers: 1})
 	out, err := p.PutProfile(ctx, request("ann", "calm", 0), []byte("[profile]\nowners = ann, bob\n"))
-	if err != nil || out.Verdict != Accepted || out.Revision != 1 {
+	if err != nil || out.Verdict != Accepted || out.Revision != firstRevision {
 		t.Fatalf("lost answer: %+v, %v", out, err)
 	}
 	out, err = p.PutProfile(ctx, request("bob", "calm", 0), []byte(text))
-	if err != nil || out.Verdict != Conflict || out.Current.Change.Author != "ann" || out.Revision != 1 {
+	if err != nil || out.Verdict != Conflict || out.Current.Change.Author != "ann" || out.Revision != firstRevision {
 		t.Fatalf("second create: %+v, %v", out, err)
 	}
 	s.SetFaults(standin.Faults{Down: true})
-	if _, err = p.PutProfile(ctx, request("ann", "calm", 1), []byte(text)); errs.KindOf(err) != errs.Unavailable {
+	if _, err = p.PutProfile(ctx, request("ann", "calm", firstRevision), []byte(text)); errs.KindOf(err) != errs.Unavailable {
 		t.Fatalf("outage: %v", err)
 	}
 }
@@ -288,11 +292,11 @@
 	if _, err := p.PutProfile(ctx, request("ann", "calm", 0), []byte("[profile]\nowners = ann, eve\n")); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := p.PutProfile(ctx, request("bob", "calm", 1), []byte(text)); errs.KindOf(err) != errs.Denied {
+	if _, err := p.PutProfile(ctx, request("bob", "calm", firstRevision), []byte(text)); errs.KindOf(err) != errs.Denied {
 		t.Fatalf("a stranger's change: %v", err)
 	}
 	for i, author := range []string{"eve", "root"} {
-		out, err := p.PutProfile(ctx, request(author, "calm", uint64(i+1)), []byte(text))
+		out, err := p.PutProfile(ctx, request(author, "calm", uint64(i)+firstRevision), []byte(text))
 		if err != nil || out.Verdict != Accepted {
 			t.Fatalf("%s: %+v, %v", author, out, err)
 		}
@@ -301,14 +305,14 @@
 	if err != nil || bound.Verdict != Accepted {
 		t.Fatalf("bind: %+v, %v", bound, err)
 	}
-	if _, err := p.DeleteProfile(ctx, request("ann", "calm", 3)); errs.KindOf(err) != errs.Conflict {
+	if _, err := p.DeleteProfile(ctx, request("ann", "calm", firstRevision+2)); errs.KindOf(err) != errs.Conflict {
 		t.Fatalf("delete of a bound profile: %v", err)
 	}
 	if _, err := p.BindService(ctx, request("ann", "tejas", bound.Revision), "sale"); errs.KindOf(err) != errs.NotFound {
 		t.Fatalf("bind to no profile: %v", err)
 	}
 	v, err := p.Get(ctx, profile.KindService, "tejas")
-	if err != nil || v.Record.Profile != "calm" || v.Record.Needs != 3 {
+	if err != nil || v.Record.Profile != "calm" || v.Record.Needs != firstRevision+2 {
 		t.Fatalf("binding %+v, %v", v.Record, err)
 	}
 }
@@ -319,7 +323,7 @@
 	if _, err := p.PutProfile(ctx, request("ann", "calm", 0), []byte(text)); err != nil {
 		t.Fatal(err)
 	}
-	deleted, err := p.DeleteProfile(ctx, request("ann", "calm", 1))
+	deleted, err := p.DeleteProfile(ctx, request("ann", "calm", firstRevision))
 	if err != nil || deleted.Verdict != Accepted {
 		t.Fatalf("delete: %+v, %v", deleted, err)
 	}
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,135 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodhatch/dogwoodhatch/store"
+)
+
+// history is a model of the store: all changes in order.
+type history []store.Entry
+
+func drawHistory(t *rapid.T) history {
+	var h history
+	revision := uint64(0)
+	for range rapid.IntRange(1, 40).Draw(t, "changes") {
+		revision += uint64(rapid.IntRange(1, 3).Draw(t, "step"))
+		h = append(h, store.Entry{
+			Key: fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key")), Revision: revision,
+			Value: []byte{byte(revision)}, Deleted: rapid.Bool().Draw(t, "deleted"),
+		})
+	}
+	for i := range h {
+		if h[i].Deleted {
+			h[i].Value = nil
+		}
+	}
+	return h
+}
+
+// at returns the state as of a revision.
+func (h history) at(revision uint64) map[string]store.Entry {
+	state := map[string]store.Entry{}
+	for _, e := range h {
+		if e.Revision > revision {
+			break
+		}
+		delete(state, e.Key)
+		if !e.Deleted {
+			state[e.Key] = e
+		}
+	}
+	return state
+}
+
+func (h history) between(after, upTo uint64) []store.Entry {
+	var list []store.Entry
+	for _, e := range h {
+		if e.Revision > after && e.Revision <= upTo {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func values(m map[string]store.Entry) []store.Entry {
+	var list []store.Entry
+	for _, e := range m {
+		list = append(list, e)
+	}
+	return list
+}
+
+// TestTablesFollowTheStore lets tables learn from the store and from each other
+// in any order; each must hold the state of the store at its revision, and no
+// key may move back.
+func TestTablesFollowTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := drawHistory(t)
+		last := h[len(h)-1].Revision
+		tables := []*Table{New(), New(), New()}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			to := tables[rapid.IntRange(0, 2).Draw(t, "to")]
+			before := to.Revision()
+			revision := uint64(rapid.IntRange(1, int(last)).Draw(t, "revision"))
+			switch rapid.SampledFrom([]string{"list", "watch", "peer"}).Draw(t, "source") {
+			case "list":
+				to.Replace(values(h.at(revision)), revision)
+			case "watch":
+				if before > 0 && revision > before {
+					to.Apply(h.between(before, revision), revision)
+				}
+			case "peer":
+				from := tables[rapid.IntRange(0, 2).Draw(t, "from")]
+				if from.Revision() == 0 || from.Revision() < before {
+					break
+				}
+				entries, whole := from.Since(before)
+				if whole {
+					to.Replace(entries, from.Revision())
+				} else {
+					to.Apply(entries, from.Revision())
+				}
+			}
+			if to.Revision() < before {
+				t.Fatalf("revision fell from %d to %d", before, to.Revision())
+			}
+			if to.Revision() == 0 {
+				continue
+			}
+			if diff := cmp.Diff(h.at(to.Revision()), to.entries); diff != "" {
+				t.Fatalf("table at %d differs from the store: %s", to.Revision(), diff)
+			}
+		}
+	})
+}
+
+func TestAStaleListChangesNothing(t *testing.T) {
+	tab := New()
+	tab.Replace([]store.Entry{{Key: "a", Revision: 7, Value: []byte("new")}}, 9)
+	if changes := tab.Replace([]store.Entry{{Key: "a", Revision: 3, Value: []byte("old")}}, 5); changes != nil {
+		t.Fatalf("a list of revision 5 changed a table of revision 9: %v", changes)
+	}
+	if e, _ := tab.Get("a"); string(e.Value) != "new" {
+		t.Fatalf("the key moved back to %q", e.Value)
+	}
+}
+
+func TestANodeThatLagsTooFarGetsTheWholeState(t *testing.T) {
+	tab := New()
+	tab.Replace(nil, 1)
+	for i := range maxDeletions + 2 {
+		revision := uint64(2 + 2*i)
+		tab.Apply([]store.Entry{{Key: "a", Revision: revision, Value: []byte("x")}, {Key: "a", Revision: revision + 1, Deleted: true}}, revision+1)
+	}
+	if _, whole := tab.Since(2); !whole {
+		t.Fatal("deletions that are no longer known were taken for known")
+	}
+	if _, whole := tab.Since(tab.Revision() - 10); whole {
+		t.Fatal("the whole state for a node that lags a little")
+	}
+}
--- a/retry/share.go
+++ b/retry/share.go
@@ -1,5 +1,7 @@
 package retry
 
+import "time"
+
 // Share is the part of an Allowance that one call holds. The attempts of the
 // call are sequential: each Grant is followed by one Return or one Forfeit
 // before the next Grant. It is safe for concurrent use with other shares of the
@@ -30,6 +32,13 @@
 	return false
 }
 
+// Held returns the number of retries that the share holds.
+func (s *Share) Held() int {
+	s.from.mu.Lock()
+	defer s.from.mu.Unlock()
+	return s.held
+}
+
 // untake gives back a retry that was taken and not used.
 func (s *Share) untake() {
 	s.from.mu.Lock()
@@ -37,6 +46,18 @@
 	s.held++
 }
 
+// TakeBoth spends one retry of the share and of a budget, or none.
+func (s *Share) TakeBoth(b *Budget, now time.Time) bool {
+	if !s.Take() {
+		return false
+	}
+	if b.Withdraw(now) {
+		return true
+	}
+	s.untake()
+	return false
+}
+
 // Grant moves what the share holds onto the next attempt and returns the
 // number. A grant that was neither returned nor forfeited is forfeited.
 func (s *Share) Grant() int {
--- a/routing/config.go
+++ b/routing/config.go
@@ -83,6 +83,16 @@
 	// membership is kept, so that a flapping entry does not start anew.
 	ForgetAfter time.Duration
 
+	// LocalLoad is the load, as a part of the concurrency limit, up to which members
+	// of the own failure domain are used alone. A higher value sends fewer bytes
+	// between failure domains and balances load less.
+	LocalLoad float64
+
+	// LocalCost is how many times the score of the best member a member of the own
+	// failure domain may have and still be used alone. A higher value stays longer
+	// with a member that has become slow or fails.
+	LocalCost float64
+
 	// SaturatedLoad is the load, as a part of the concurrency limit, from which a
 	// member counts as saturated. A lower value spills sooner.
 	SaturatedLoad float64
@@ -156,6 +166,8 @@
 		LastResortInFlight:  4,
 		LeavingHold:         time.Minute,
 		ForgetAfter:         time.Minute,
+		LocalLoad:           0.85,
+		LocalCost:           2.5,
 		SaturatedLoad:       1,
 		SpillRatio:          0.2,
 		SpillPerSecond:      2,
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -28,6 +29,7 @@
 // Rules that a Choice names.
 const (
 	RuleLeastLoaded = "least_loaded" // the better of two members of the own region
+	RuleLocal       = "local"        // a member of the own failure domain with room
 	RuleOnlyOne     = "only_one"     // no other member could be chosen
 	RuleSpill       = "spill"        // the own region is saturated
 	RuleRemote      = "remote"       // the own region has no member to use
@@ -87,6 +89,9 @@
 	free := filter(admitting, func(s *state) bool { return !s.saturated(&r.cfg, now) })
 	if len(free) > 0 {
 		r.spill.stayed(&r.cfg)
+		if local := r.local(free, now); len(local) > 0 {
+			return r.best(local, RuleLocal, q, now)
+		}
 		return r.best(free, RuleLeastLoaded, q, now)
 	}
 	if c, ok := r.trySpill(p, q, now); ok {
@@ -99,6 +104,22 @@
 	return r.refuse(call.ReasonThrottled)
 }
 
+// local returns the members of the own failure domain that are neither loaded nor
+// much worse than the best of the list.
+func (r *Router) local(list []*state, now time.Time) []*state {
+	own := filter(list, func(s *state) bool {
+		return s.Domain == r.cfg.Domain && s.utilization(&r.cfg, now) <= r.cfg.LocalLoad*s.ramp(&r.cfg, now)
+	})
+	if len(own) == 0 || len(own) == len(list) {
+		return own
+	}
+	best := math.Inf(1)
+	for _, s := range list {
+		best = min(best, s.score(&r.cfg, now))
+	}
+	return filter(own, func(s *state) bool { return s.score(&r.cfg, now) <= r.cfg.LocalCost*best })
+}
+
 // trySpill chooses in another region if a member there serves the call and the
 // budget pays for it.
 func (r *Router) trySpill(p *pool, q Query, now time.Time) (Choice, bool) {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -13,7 +13,6 @@
 node_pids=()
 other_pids=()
 node_names=()
-contacts=()
 declare -A outside_url local_url admin_url backend_url
 
 fail() {
@@ -64,7 +63,6 @@
   admin_url[$name]=http://127.0.0.1:$((port + 4))
   backend_url[$name]=http://127.0.0.1:$((port + 5))
   node_names+=("$name")
-  ((${#contacts[@]} >= 3)) || contacts+=("$peer")
   cat >"$run_dir/$name.ini" <<EOF
 [node]
 id = $name
@@ -74,12 +72,9 @@
 outside = ${outside_url[$name]#http://}
 local = ${local_url[$name]#http://}
 peer = $peer
-gossip = $peer
 admin = ${admin_url[$name]#http://}
 [store]
 url = $store_url
-[contacts]
-addresses = $(IFS=, && echo "${contacts[*]}")
 [admin]
 credentials = operator:$operator_token
 [log]
@@ -176,7 +171,7 @@
   stop "${node_pids[@]}" || status=2
   # The store holds nothing worth a graceful shutdown.
   stop "${other_pids[@]}" || true
-  backend_pids=() node_pids=() other_pids=() node_names=() contacts=()
+  backend_pids=() node_pids=() other_pids=() node_names=()
   outside_url=() local_url=() admin_url=() backend_url=()
   return "$status"
 }
--- a/settings/field.go
+++ b/settings/field.go
@@ -47,18 +47,22 @@
 		{section: "node", key: "id", required: true, set: text(&s.Node.ID)},
 		{section: "node", key: "region", required: true, set: text(&s.Node.Region)},
 		{section: "node", key: "failure_domain", required: true, set: text(&s.Node.FailureDomain)},
-		{section: "listen", key: "outside", required: true, set: address(&s.Listen.Outside)},
-		{section: "listen", key: "local", required: true, set: address(&s.Listen.Local)},
+		{section: "node", key: "service", set: text(&s.Node.Service)},
+		{section: "listen", key: "outside", set: address(&s.Listen.Outside)},
+		{section: "listen", key: "local", set: address(&s.Listen.Local)},
 		{section: "listen", key: "peer", required: true, set: address(&s.Listen.Peer)},
-		{section: "listen", key: "gossip", required: true, set: address(&s.Listen.Gossip)},
 		{section: "listen", key: "advertise_peer", set: address(&s.Listen.AdvertisePeer)},
 		{section: "listen", key: "admin", set: address(&s.Listen.Admin)},
 		{section: "store", key: "url", set: checked(&s.Store.URL, checkURL)},
 		{section: "store", key: "timeout", fallback: "2s", set: duration(&s.Store.Timeout, 10*time.Millisecond, time.Minute)},
-		{section: "contacts", key: "addresses", set: addresses(&s.Contacts.Addresses)},
+		{section: "platform", key: "callers", set: address(&s.Platform.Callers)},
+		{section: "platform", key: "ready", set: address(&s.Platform.Ready)},
+		{section: "platform", key: "backend", set: address(&s.Platform.Backend)},
+		{section: "platform", key: "bounds", set: text(&s.Platform.Bounds)},
 		{section: "admin", key: "credentials", set: credentials(&s.Admin.Credentials)},
 		{section: "admin", key: "admins", set: list(&s.Admin.Admins)},
 		{section: "backend", key: "shed_header", fallback: "X-Shed", set: text(&s.Backend.ShedHeader), mayBeEmpty: true},
+		{section: "backend", key: "trust_slots", fallback: "no", set: yesNo(&s.Backend.TrustSlots)},
 		{section: "backend", key: "announce_ttl", fallback: "3s", set: duration(&s.Backend.AnnounceTTL, 100*time.Millisecond, 5*time.Minute)},
 		{section: "backend", key: "drain_timeout", fallback: "30s", set: duration(&s.Backend.DrainTimeout, time.Second, 10*time.Minute)},
 		{section: "limits", key: "max_request_bytes", fallback: "1048576", set: number(&s.Limits.MaxRequestBytes, 0, 1<<30)},
@@ -98,13 +102,11 @@
 	return nil
 }
 
-func addresses(dst *[]string) func(string) error {
+func yesNo(dst *bool) func(string) error {
 	return func(v string) error {
-		for _, a := range splitList(v) {
-			if err := checkAddress(a); err != nil {
-				return fmt.Errorf("%q %w", a, err)
-			}
-			*dst = append(*dst, a)
+		*dst = v == "yes"
+		if v != "yes" && v != "no" {
+			return fmt.Errorf("is not known; use yes or no")
 		}
 		return nil
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,7 +18,7 @@
 	Node     Node
 	Listen   Listen
 	Store    Store
-	Contacts Contacts
+	Platform Platform
 	Admin    Admin
 	Backend  Backend
 	Limits   Limits
@@ -31,14 +31,14 @@
 	ID            string // unique among the VMs of the fleet
 	Region        string
 	FailureDomain string
+	Service       string // of the backend server on the VM; "" if only its announcement tells
 }
 
 // Listen holds the addresses (host:port) that the node serves.
 type Listen struct {
-	Outside string // callers outside the fleet, HTTP
-	Local   string // the backend server beside the node, HTTP
+	Outside string // callers outside the fleet, HTTP; empty serves none
+	Local   string // the backend server beside the node, HTTP; empty serves none
 	Peer    string // other nodes, yamux over TCP
-	Gossip  string // other nodes, UDP
 	// AdvertisePeer is the address that other nodes dial; empty means Peer.
 	AdvertisePeer string
 	Admin         string // operators, HTTP; empty serves none
@@ -50,9 +50,13 @@
 	Timeout time.Duration // of one call
 }
 
-// Contacts are the first other nodes to ask when the store does not answer.
-type Contacts struct {
-	Addresses []string // gossip addresses
+// Platform holds the addresses that the node serves in the platform's own form,
+// and the platform's bounds as it writes them. Empty addresses serve nothing.
+type Platform struct {
+	Callers string // callers and the backend server on the VM
+	Ready   string // the platform's question whether the node takes work
+	Backend string // announcements of the backend server
+	Bounds  string // list of name=value
 }
 
 // Admin configures the administration API.
@@ -64,6 +68,7 @@
 // Backend describes the backend server beside the node.
 type Backend struct {
 	ShedHeader   string        // a 503 answer with this header proves that the call did not run; empty trusts none
+	TrustSlots   bool          // the announced slots bound the calls at the backend server
 	AnnounceTTL  time.Duration // an announcement lapses when it is not renewed for this long
 	DrainTimeout time.Duration // bound on a graceful shutdown
 }
@@ -76,7 +81,7 @@
 
 // Log configures the log.
 type Log struct {
-	Path   string // empty writes to standard error
+	Path   string // empty writes to standard output
 	Level  string // debug, info, warn or error
 	Buffer int    // lines held while the output is slow; more are dropped and counted
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -18,7 +18,6 @@
 outside = 127.0.0.1:7001
 local = 127.0.0.1:7002
 peer = 127.0.0.1:7003
-gossip = 127.0.0.1:7003
 `
 
 func load(t *testing.T, text string) (*Settings, error) {
