A dropped history of the store is read anew; retries bounded by all nodes together

Found by the log of the node named in the trace. Ruled out: late news between nodes, since every watcher had the same fault.

Change: the loop keeps apart whether the next call reads the whole state. One watcher for each region; patience exceeds the time of a watch, so that nodes no longer begin and end watching by turns. Retries that a backend server may see draw on this node's share of the bound that all nodes hold together; refusals by nodes need none.

--- a/membership/watchers.go
+++ b/membership/watchers.go
@@ -13,7 +13,8 @@
 	PerRegion int
 
 	// Patience is how long a node takes the news of others for current. After it
-	// the node reads the store itself.
+	// the node reads the store itself. It must exceed the time after which a watch
+	// returns by itself and the time between two comparisons of nodes.
 	Patience time.Duration
 
 	// Step is the further patience of a node for each one that ranks before it,
@@ -23,7 +24,7 @@
 
 // DefaultWatchConfig fits changes that must be in force within 2.5 s.
 func DefaultWatchConfig() WatchConfig {
-	return WatchConfig{PerRegion: 2, Patience: 1500 * time.Millisecond, Step: 20 * time.Millisecond}
+	return WatchConfig{PerRegion: 1, Patience: 2200 * time.Millisecond, Step: 20 * time.Millisecond}
 }
 
 // Rank returns how many live members of the region come before the node id in an
--- a/node/node.go
+++ b/node/node.go
@@ -28,7 +28,7 @@
 	// elsewhere: it asks each second whether the node is ready, twice.
 	callersLeaveTime = 2300 * time.Millisecond
 	// graceReserve is left of the grace time for the end of the process.
-	graceReserve = 700 * time.Millisecond
+	graceReserve = 1200 * time.Millisecond
 	// settingsInterval is the time between two looks at the settings file.
 	settingsInterval = time.Second
 	stopTimeout      = 5 * time.Second
@@ -142,13 +142,21 @@
 	}
 	n.kernel.Drain.Leave()
 	cut := n.drain(ctx)
-	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	stop, cancelStop := context.WithTimeout(context.Background(), n.stopTimeout())
 	defer cancelStop()
 	n.kernel.Stop(stop)
 	n.log.Info("node_stopped", zap.Int("cut", cut), zap.Duration("took", time.Since(began)))
 	n.closeLog()
 }
 
+// stopTimeout bounds the end of the plug-ins.
+func (n *Node) stopTimeout() time.Duration {
+	if n.kernel.Bounds.Grace > 0 {
+		return graceReserve / 2
+	}
+	return stopTimeout
+}
+
 // drain waits for the work in flight and returns how many requests are left
 // when ctx ends.
 func (n *Node) drain(ctx context.Context) int {
--- a/plugin/caller/attempt.go
+++ b/plugin/caller/attempt.go
@@ -29,6 +29,9 @@
 // begin counts an attempt in. hedged ones run beside another that holds the
 // allowance.
 func (r *request) begin(ctx context.Context, choice routing.Choice, hedged bool) *attempt {
+	if r.attempts == 0 {
+		r.s.sent(&r.Chain)
+	}
 	r.attempts++
 	r.tried = append(r.tried, choice.Member.Node)
 	r.logRoute(choice)
--- a/plugin/caller/service.go
+++ b/plugin/caller/service.go
@@ -27,6 +27,8 @@
 	mu      sync.Mutex
 	router  *routing.Router
 	budget  *retry.Budget
+	retries retry.Config
+	bounds  kernel.Bounds // of the whole fleet; a RetryRatio of 0 leaves them to this node
 	rng     *rand.Rand
 	seen    uint64 // version of the fleet that the router knows
 	members []membership.Member
@@ -43,12 +45,22 @@
 	if k.Settings.Baseline.Off(settings.MechanismThrottle) {
 		cfg.ThrottleFactor = math.MaxFloat64
 	}
-	return &service{
-		name:   name,
-		router: routing.New(cfg, rng),
-		budget: retry.NewBudget(retry.DefaultBudgetConfig()),
-		rng:    rng,
+	s := &service{name: name, router: routing.New(cfg, rng), bounds: k.Bounds, retries: retry.DefaultConfig(), rng: rng}
+	if s.shared() {
+		s.budget = retry.NewFleetBudget(s.share(k.Fleet))
+		s.retries.FreeRefusals = true
+	} else {
+		s.budget = retry.NewBudget(retry.DefaultBudgetConfig())
 	}
+	return s
+}
+
+// shared reports whether all nodes hold the bound on retries together.
+func (s *service) shared() bool { return s.bounds.RetryRatio > 0 }
+
+// share returns this node's part of the bound on retries.
+func (s *service) share(fleet kernel.Fleet) retry.BudgetConfig {
+	return retry.FleetBudgetConfig(s.bounds.RetryRatio, s.bounds.RetrySlack, s.bounds.RetryWindow, len(fleet.All()))
 }
 
 // refresh passes a changed membership to the router. The caller holds mu.
@@ -67,6 +79,9 @@
 		})
 	}
 	s.router.Update(list, now)
+	if s.shared() {
+		s.budget.Resize(s.share(fleet))
+	}
 }
 
 // pick chooses the target of the next attempt and counts it in.
@@ -105,16 +120,34 @@
 	defer s.mu.Unlock()
 	s.router.Finish(node, res, now)
 	s.router.Record(p, res, now)
-	if res.Outcome == call.Answered {
+	if res.Outcome == call.Answered && !s.shared() {
+		s.budget.Deposit(now)
+	}
+}
+
+// sent counts the first attempt of a request: one of a caller pays for retries
+// where all nodes hold the bound together, and one below a repeated request is a
+// retry itself.
+func (s *service) sent(chain *call.Chain) {
+	if !s.shared() {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if chain.Depth == 0 {
 		s.budget.Deposit(now)
 	}
+	if chain.Repeat {
+		s.budget.Debit(now)
+	}
 }
 
 // decide asks whether to send the request again.
 func (s *service) decide(res call.Result, idempotent bool, attempt int, left, expected time.Duration, share *retry.Share) retry.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return retry.Decide(retry.DefaultConfig(), res, idempotent, attempt, left, expected, share, s.budget, s.rng, time.Now())
+	return retry.Decide(s.retries, res, idempotent, attempt, left, expected, share, s.budget, s.rng, time.Now())
 }
 
 // takeRetry spends one retry of the share and of the service's budget.
--- a/plugin/directory/follow.go
+++ b/plugin/directory/follow.go
@@ -25,21 +25,17 @@
 func (d *directory) follow() {
 	cfg := membership.DefaultWatchConfig()
 	watching := false
-	var after uint64
+	whole := true // the next call reads the whole state
 	for d.ctx.Err() == nil {
 		duty, rank := d.onDuty(cfg)
 		if duty != watching {
 			d.logDuty(duty, rank)
 			watching = duty
 		}
-		asked := false
-		if !duty {
-			if asked = d.waitRefresh(dutyInterval); !asked {
-				continue
-			}
+		if !duty && !d.waitRefresh(dutyInterval) {
+			continue
 		}
-		after = max(after, d.revision.Load())
-		after = d.read(after)
+		whole = d.read(whole || d.revision.Load() == 0)
 	}
 }
 
@@ -73,71 +69,71 @@
 	return false
 }
 
-// read makes one call and returns the revision from which to go on; 0 asks for
-// the whole state.
-func (d *directory) read(after uint64) uint64 {
+// read makes one call, and reports whether the next one has to read the whole
+// state.
+func (d *directory) read(whole bool) bool {
 	var entries []store.Entry
 	var revision uint64
 	var err error
-	whole := after == 0
+	after := d.revision.Load()
 	d.calls.Inc(1)
 	if whole {
 		entries, revision, err = d.store.List(d.ctx, everything)
 	} else {
-		ctx, cancel := context.WithCancel(d.ctx)
-		stop := d.cancelOnRefresh(cancel)
-		entries, revision, err = d.store.Watch(ctx, everything, after)
-		refreshed := stop()
-		cancel()
-		if refreshed && err != nil {
-			return 0
-		}
+		entries, revision, err = d.watch(after)
 	}
 	if err != nil {
-		return d.readFailed(after, err)
+		return d.readFailed(after, whole, err)
 	}
 	d.confirm(0)
 	if revision < after {
 		d.log.Error("store_lost_state", zap.Uint64("seen", after), zap.Uint64("now", revision))
 	}
 	d.k.Control.Do(func() { d.apply(entries, revision, whole) })
-	return revision
+	return false
 }
 
-// cancelOnRefresh ends a waiting watch when the store is to be read now, because
-// a watch may be silent. The returned function ends the wait and reports whether
-// that happened.
-func (d *directory) cancelOnRefresh(cancel context.CancelFunc) func() bool {
+// watch waits for changes, until the store is to be read now: the watch may be
+// silent.
+func (d *directory) watch(after uint64) ([]store.Entry, uint64, error) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	defer cancel()
+	stop := d.cancelOnRefresh(cancel)
+	defer stop()
+	return d.store.Watch(ctx, everything, after)
+}
+
+// cancelOnRefresh ends a waiting watch when the store is to be read now. The
+// returned function ends that.
+func (d *directory) cancelOnRefresh(cancel context.CancelFunc) func() {
 	quit := make(chan struct{})
-	done := make(chan bool, 1)
 	go func() {
 		select {
 		case <-d.refresh:
 			cancel()
-			done <- true
 		case <-quit:
-			done <- false
 		}
 	}()
-	return func() bool {
-		close(quit)
-		return <-done
-	}
+	return func() { close(quit) }
 }
 
-// readFailed waits before the next call, unless the store only asks for a list.
-func (d *directory) readFailed(after uint64, err error) uint64 {
+// readFailed waits before the next call, which reads the whole state: a watch
+// that failed may fail again, or be silent. The first failure of a watch needs no
+// wait.
+func (d *directory) readFailed(after uint64, whole bool, err error) bool {
 	if d.ctx.Err() != nil {
-		return after
+		return true
 	}
 	if errs.KindOf(err) == errs.Gone {
 		d.log.Info("store_history_gone", zap.Uint64("after", after))
-		return 0
+		return true
 	}
 	d.failures.Inc(1)
-	d.log.Warn("store_read_failed", zap.Uint64("after", after), zap.Duration("age", d.age()), zap.Error(err))
-	d.waitRefresh(jitter(watchRetry))
-	return after
+	d.log.Warn("store_read_failed", zap.Uint64("after", after), zap.Bool("whole", whole), zap.Duration("age", d.age()), zap.Error(err))
+	if whole {
+		d.waitRefresh(jitter(watchRetry))
+	}
+	return true
 }
 
 // jitter spreads a mean time by half either way.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -23,6 +23,22 @@
 	return BudgetConfig{Ratio: 0.1, MinPerSecond: 1, Burst: 10}
 }
 
+// Parts of a bound that all nodes hold together. The rest is left for nodes that
+// start with a new budget, and for requests that are counted in another window.
+const (
+	fleetRatioPart = 0.5 // of the ratio
+	fleetSlackPart = 0.4 // of the slack, once as burst and once over the window
+)
+
+// FleetBudgetConfig returns this node's share of a bound on the repeated requests
+// that all nodes together send to a service: ratio of its requests plus slack in
+// any window. Deposits are then made for the requests of callers, not for
+// successes.
+func FleetBudgetConfig(ratio, slack float64, window time.Duration, nodes int) BudgetConfig {
+	share := fleetSlackPart * slack / float64(max(nodes, 1))
+	return BudgetConfig{Ratio: fleetRatioPart * ratio, MinPerSecond: share / window.Seconds(), Burst: max(share, 1)}
+}
+
 // Budget is a token bucket for the retries towards one service: successes
 // deposit and retries withdraw. It starts full and is not safe for concurrent
 // use.
@@ -37,7 +53,24 @@
 	return &Budget{cfg: cfg, tokens: cfg.Burst}
 }
 
-// Deposit records a success.
+// NewFleetBudget returns the share of a node of a bound that all nodes hold
+// together. It starts empty, so that nodes that are restarted do not gain by it.
+func NewFleetBudget(cfg BudgetConfig) *Budget { return &Budget{cfg: cfg} }
+
+// Resize takes another share, as the number of nodes changes.
+func (b *Budget) Resize(cfg BudgetConfig) {
+	b.cfg = cfg
+	b.tokens = min(b.tokens, cfg.Burst)
+}
+
+// Debit counts a repeated request that is sent in any case, such as a call below
+// a repeated one. It may leave the budget in debt, up to one burst.
+func (b *Budget) Debit(now time.Time) {
+	b.fill(now)
+	b.tokens = max(b.tokens-1, -b.cfg.Burst)
+}
+
+// Deposit records what pays for retries: a success, or a request of a caller.
 func (b *Budget) Deposit(now time.Time) {
 	b.fill(now)
 	b.tokens = min(b.tokens+b.cfg.Ratio, b.cfg.Burst)
--- a/retry/decide.go
+++ b/retry/decide.go
@@ -20,6 +20,11 @@
 	// here. A longer one is passed on to the caller as a final refusal, which frees
 	// the request's place at this node.
 	MaxRetryAfter time.Duration
+
+	// FreeRefusals says that a retry after a refusal by a node needs no budget,
+	// because no backend server has got the request, and is sent at once, because
+	// it goes to another member. The allowance of the chain bounds it.
+	FreeRefusals bool
 }
 
 // DefaultConfig returns delays for calls within one region.
@@ -60,17 +65,21 @@
 	if rule := finalRule(res, idempotent); rule != "" {
 		return Decision{Rule: rule}
 	}
-	if res.RetryAfter > cfg.MaxRetryAfter {
-		return Decision{Rule: RuleRetryAfter}
+	free := cfg.FreeRefusals && refusedByNode(res)
+	var delay time.Duration
+	if !free {
+		if res.RetryAfter > cfg.MaxRetryAfter {
+			return Decision{Rule: RuleRetryAfter}
+		}
+		delay = res.RetryAfter + backoff(cfg, res.Reason, attempt, rng)
 	}
-	delay := res.RetryAfter + backoff(cfg, res.Reason, attempt, rng)
 	if delay+max(expected, 0) >= timeLeft {
 		return Decision{Rule: RuleTimeLeft}
 	}
 	if !share.Take() {
 		return Decision{Rule: RuleAllowance}
 	}
-	if !exempt(res) && !b.Withdraw(now) {
+	if !free && !exempt(res) && !b.Withdraw(now) {
 		share.untake()
 		return Decision{Rule: RuleBudget}
 	}
@@ -84,6 +93,12 @@
 	return res.Outcome == call.Refused && res.Reason == call.ReasonLeaving
 }
 
+// refusedByNode reports whether a node refused the request before any backend
+// server got it.
+func refusedByNode(res call.Result) bool {
+	return res.Outcome == call.Refused && res.Reason != call.ReasonShed && res.Reason != call.ReasonMisdirected
+}
+
 // finalRule returns why res is final, or "" if it may be retried.
 func finalRule(res call.Result, idempotent bool) string {
 	switch res.Outcome {
@@ -109,7 +124,7 @@
 func otherMemberMayServe(r call.Reason) bool {
 	switch r {
 	case call.ReasonQueueFull, call.ReasonDeadline, call.ReasonLeaving, call.ReasonShed,
-		call.ReasonConnect, call.ReasonConnLost, call.ReasonWithdrawn:
+		call.ReasonConnect, call.ReasonConnLost, call.ReasonWithdrawn, call.ReasonMisdirected:
 		return true
 	}
 	return false
