--- a/admission/controller.go
+++ b/admission/controller.go
@@ -291,6 +291,9 @@
 	c.queue.fifo = m.Order
 }
 
+// Waiting returns the number of queued calls.
+func (c *Controller) Waiting() int { return c.queue.size }
+
 // Pressure returns the present load.
 func (c *Controller) Pressure(now time.Time) call.Pressure {
 	p := c.rates.admitted(now)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/dogwoodhatch/dogwoodhatch/logging"
 	"github.com/dogwoodhatch/dogwoodhatch/route"
 	"github.com/dogwoodhatch/dogwoodhatch/settings"
 	"github.com/dogwoodhatch/dogwoodhatch/store"
@@ -25,6 +26,7 @@
 	Settings *settings.Settings
 	Log      *zap.Logger
 	Metrics  metrics.Registry
+	Sampler  *logging.Sampler // which requests are logged
 	Control  *Control
 	NodeID   string // unique per process start
 
@@ -100,9 +102,11 @@
 
 // New returns a kernel with all registered plug-ins set up.
 func New(s *settings.Settings, nodeID string, log *zap.Logger, reg metrics.Registry) (*Kernel, error) {
-	k := &Kernel{Settings: s, NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Records: newRecords(), Routes: &route.Book{}, Drain: newDrain()}
+	k := &Kernel{Settings: s, Sampler: logging.NewSampler(s.Log.Sample), NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Records: newRecords(), Routes: &route.Book{}, Drain: newDrain()}
 	metrics.NewRegisteredFunctionalGauge("control.busy_us", reg, func() int64 { return k.Control.Busy().Microseconds() })
 	metrics.NewRegisteredFunctionalGauge("requests.in_flight", reg, func() int64 { return int64(k.Drain.InFlight()) })
+	metrics.NewRegisteredFunctionalGauge("log.requests_ordinary", reg, func() int64 { n, _ := k.Sampler.Left(); return int64(n) })
+	metrics.NewRegisteredFunctionalGauge("log.requests_throttled", reg, func() int64 { _, n := k.Sampler.Left(); return int64(n) })
 	k.Reload(s)
 	registryMu.Lock()
 	list := slices.Clone(registry)
--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -214,10 +214,11 @@
 
 // BackendReport is what the head of an answer tells besides the answer.
 type BackendReport struct {
-	NotRun  bool        // the backend server proved that it did not run the call
-	Other   bool        // another start of a backend server has the address; it did not run the call
-	Foreign bool        // the answer belongs to another request
-	Load    BackendLoad // zero if not told
+	NotRun   bool        // the backend server proved that it did not run the call
+	Unproved bool        // the status says not run without the proof of it
+	Other    bool        // another start of a backend server has the address; it did not run the call
+	Foreign  bool        // the answer belongs to another request
+	Load     BackendLoad // zero if not told
 }
 
 // BackendLoad is the load that a backend server tells.
--- a/plugin/caller/attempt.go
+++ b/plugin/caller/attempt.go
@@ -34,7 +34,7 @@
 	}
 	r.attempts++
 	r.tried = append(r.tried, choice.Member.Node)
-	r.logRoute(choice)
+	r.story.routed(r.attempts, choice, hedged)
 	a := &attempt{r: r, choice: choice, id: call.NewID()}
 	if !hedged {
 		a.share = r.share
@@ -153,8 +153,12 @@
 
 func (a *attempt) head() *wire.CallHead {
 	r := a.r
+	var chain []byte
+	if r.Chain.RequestID == "" {
+		chain = r.Chain.ID[:] // else the caller's id names the chain
+	}
 	return &wire.CallHead{
-		AttemptId: a.id[:], ChainId: r.Chain.ID[:], Service: r.Service, Class: r.Chain.Class,
+		AttemptId: a.id[:], ChainId: chain, Service: r.Service, Class: r.Chain.Class,
 		Priority: uint32(r.Chain.Priority), Idempotent: r.Chain.Idempotent,
 		TimeoutMs: uint32(max(time.Until(r.Chain.Deadline).Milliseconds(), 0)), Retries: uint32(a.granted),
 		Method: r.Method, Target: r.Target, Headers: peer.EncodeHeader(r.Header), BodyBytes: uint32(len(r.Body)),
@@ -170,7 +174,7 @@
 	c := a.r.c
 	ans, err := c.k.Transport.Call(a.ctx, a.choice.Member.Addr, &kernel.Attempt{Head: a.head(), Body: a.r.Body})
 	if err != nil {
-		c.log.Info("connect_failed", zap.String("request", a.r.Chain.RequestID), zap.String("member", a.choice.Member.Node), zap.Error(err))
+		c.log.Debug("connect_failed", zap.String("request", a.r.Chain.RequestID), zap.String("member", a.choice.Member.Node), zap.Error(err))
 		return &kernel.Answer{Result: call.Result{Outcome: call.Refused, Reason: call.ReasonConnect}}
 	}
 	if ans.Outcome != call.Answered {
--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -72,9 +72,11 @@
 	share    *retry.Share
 	tried    []string
 	attempts int
+	crowded  bool           // the last attempt was refused for want of time or room
 	reached  int            // attempts that may have reached a backend server
 	unknown  *kernel.Answer // an earlier attempt that may have run
 	claims   []claim
+	story    story
 }
 
 // Do implements kernel.Caller.
@@ -82,13 +84,14 @@
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, req.Chain.Deadline)
 	r := &request{Request: req, c: c, s: c.service(req.Service), share: req.Allowance.Share()}
+	r.story.began = began
 	ans := r.run(ctx)
 	r.share.Close()
 	if ans.Outcome == call.Refused {
 		r.releaseClaims()
 	}
 	c.meters.count(req.Service, req.Chain.Class, ans, time.Since(began))
-	c.logEnd(r, ans)
+	r.tell(ans)
 	if ans.Body == nil {
 		cancel()
 		return ans
@@ -115,6 +118,7 @@
 			r.unknown = ans
 			r.Chain.Repeat = true
 		}
+		r.crowded = ans.Outcome == call.Refused && (ans.Reason == call.ReasonDeadline || ans.Reason == call.ReasonQueueFull || ans.Reason == call.ReasonShed)
 		if !r.retry(ctx, ans, choice.Expected) {
 			return r.final(ans)
 		}
@@ -124,7 +128,7 @@
 // pick chooses the target of the next attempt: a member that was not tried
 // yet, or any member once all were tried.
 func (r *request) pick() (routing.Choice, routing.Refusal) {
-	q := routing.Query{Priority: r.Chain.Priority, Deadline: r.Chain.Deadline, Exclude: r.tried}
+	q := routing.Query{Priority: r.Chain.Priority, Deadline: r.Chain.Deadline, Exclude: r.tried, Anywhere: r.crowded}
 	choice, refusal := r.s.pick(r.c.k.Fleet, q, r.c.naive)
 	if refusal.Reason != call.ReasonNoMember || len(r.tried) == 0 {
 		return choice, refusal
@@ -171,8 +175,7 @@
 		return false
 	}
 	d := r.s.decide(ans.Result, r.Chain.Idempotent, r.attempts, time.Until(r.Chain.Deadline), expected, r.share)
-	r.c.log.Info("retry", zap.String("request", r.Chain.RequestID), zap.String("service", r.Service), zap.String("chain", r.Chain.ID.String()), zap.Bool("retry", d.Retry),
-		zap.String("rule", d.Rule), zap.Duration("delay", d.Delay), zap.Stringer("outcome", ans.Outcome), zap.String("reason", string(ans.Reason)))
+	r.story.retried(d, ans.Result)
 	if !d.Retry {
 		return false
 	}
@@ -186,16 +189,3 @@
 		return false
 	}
 }
-
-func (r *request) logRoute(c routing.Choice) {
-	r.c.log.Info("route", zap.String("request", r.Chain.RequestID), zap.String("service", r.Service), zap.String("class", r.Chain.Class), zap.String("chain", r.Chain.ID.String()),
-		zap.Int("attempt", r.attempts), zap.String("member", c.Member.Node), zap.String("region", c.Member.Region), zap.String("rule", c.Rule),
-		zap.Float64("score", c.Score), zap.String("runner_up", c.RunnerUp), zap.Float64("runner_up_score", c.RunnerUpScore),
-		zap.Int("candidates", c.Candidates))
-}
-
-func (c *caller) logEnd(r *request, ans *kernel.Answer) {
-	c.log.Info("request", zap.String("request", r.Chain.RequestID), zap.String("service", r.Service), zap.String("class", r.Chain.Class), zap.String("chain", r.Chain.ID.String()),
-		zap.Stringer("outcome", ans.Outcome), zap.String("reason", string(ans.Reason)), zap.Int("status", ans.Status),
-		zap.Int("attempts", r.attempts), zap.Duration("left", time.Until(r.Chain.Deadline)))
-}
--- a/plugin/directory/follow.go
+++ b/plugin/directory/follow.go
@@ -17,7 +17,7 @@
 	// members and all records.
 	everything = ""
 
-	dutyInterval = 100 * time.Millisecond // between two looks whether to watch
+	dutyInterval = 200 * time.Millisecond // between two looks whether to watch
 	watchRetry   = 500 * time.Millisecond // mean time after a failed call
 )
 
--- a/plugin/peer/client.go
+++ b/plugin/peer/client.go
@@ -21,14 +21,15 @@
 // the attempt is lost.
 func (p *pool) Call(ctx context.Context, addr string, a *kernel.Attempt) (*kernel.Answer, error) {
 	a.Head.StateRevision = p.replica.Revision()
-	buf, err := encodeRequest(&wire.StreamHead{Kind: &wire.StreamHead_Call{Call: a.Head}}, a.Body)
-	if err != nil {
-		return nil, errs.Wrap(err, errs.Internal, "report this fault", "attempt cannot be encoded")
-	}
 	st, s, err := p.open(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
+	buf, err := encodeRequest(&wire.StreamHead{Kind: &wire.StreamHead_Call{Call: st.contexts.encode(a.Head)}}, a.Body)
+	if err != nil {
+		s.release(st, false)
+		return nil, errs.Wrap(err, errs.Internal, "report this fault", "attempt cannot be encoded")
+	}
 	r := newAnswerReader(ctx, st, s)
 	if _, err := st.mux.Write(buf); err != nil {
 		r.Close()
@@ -40,7 +41,12 @@
 		return lost(ctx, err), nil
 	}
 	p.replica.Heard(addr, head.GetStateRevision())
-	return r.answer(head), nil
+	ans, err := r.answer(head)
+	if err != nil {
+		r.Close()
+		return lost(ctx, err), nil
+	}
+	return ans, nil
 }
 
 // lost is the answer of an attempt that may have run.
@@ -88,7 +94,7 @@
 	return f.GetHead(), nil
 }
 
-func (r *answerReader) answer(h *wire.AnswerHead) *kernel.Answer {
+func (r *answerReader) answer(h *wire.AnswerHead) (*kernel.Answer, error) {
 	a := &kernel.Answer{
 		Result: call.Result{
 			Outcome:    decodeOutcome(h.GetOutcome()),
@@ -100,15 +106,18 @@
 		Trailer: r.trailer,
 	}
 	if a.Outcome == call.Answered {
-		a.Header = DecodeHeader(h.GetHeaders())
+		var err error
+		if a.Header, err = r.st.headers.decode(h.GetHeaders()); err != nil {
+			return nil, err
+		}
 		a.Body = r
-		return a
+		return a, nil
 	}
 	if _, err := r.Read(nil); err == nil {
 		_, _ = io.Copy(io.Discard, r)
 	}
 	r.Close()
-	return a
+	return a, nil
 }
 
 // Read implements io.Reader. It returns io.EOF only when the end of the answer
--- a/plugin/peer/config.go
+++ b/plugin/peer/config.go
@@ -43,7 +43,7 @@
 	return Config{
 		DialTimeout:    500 * time.Millisecond,
 		SilenceTimeout: 900 * time.Millisecond,
-		SilenceLimit:   150 * time.Millisecond,
+		SilenceLimit:   250 * time.Millisecond,
 		ProbeTimeout:   500 * time.Millisecond,
 		CheckInterval:  50 * time.Millisecond,
 		IdleTimeout:    5 * time.Minute,
--- a/plugin/peer/frame_test.go
+++ b/plugin/peer/frame_test.go
@@ -20,7 +20,7 @@
 // encodeAnswer returns the frames of a whole answer.
 func encodeAnswer(t *rapid.T, body []byte) []byte {
 	var buf bytes.Buffer
-	w := &answerWriter{bw: bufio.NewWriter(&buf), hash: xxhash.New()}
+	w := &answerWriter{bw: bufio.NewWriter(&buf), headers: newHeaderEncoder(), hash: xxhash.New()}
 	if err := w.WriteHead(http.StatusOK, http.Header{"A": {"b"}}, call.Pressure{}); err != nil {
 		t.Fatal(err)
 	}
--- a/plugin/peer/header.go
+++ b/plugin/peer/header.go
@@ -2,13 +2,15 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
-// EncodeHeader converts HTTP headers for the wire.
+// EncodeHeader converts HTTP headers for the wire, in the order of their names.
 func EncodeHeader(h http.Header) []*wire.Header {
 	out := make([]*wire.Header, 0, len(h))
 	for name, values := range h {
@@ -16,6 +18,7 @@
 			out = append(out, &wire.Header{Name: name, Value: v})
 		}
 	}
+	slices.SortStableFunc(out, func(a, b *wire.Header) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
--- a/plugin/peer/pool.go
+++ b/plugin/peer/pool.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -69,7 +68,7 @@
 		p.drop(s)
 		return nil, nil, errs.Wrap(err, errs.Unavailable, "retry at another node", "session to %s is broken", addr)
 	}
-	return &stream{mux: mux, br: bufio.NewReader(mux)}, s, nil
+	return newStream(mux), s, nil
 }
 
 // session returns the session to addr, dialling when there is none.
@@ -110,15 +109,15 @@
 }
 
 func (p *pool) dial(addr string) (*session, error) {
-	conn, err := p.dialer.Dial("tcp", addr)
+	nc, err := p.dialer.Dial("tcp", addr)
 	if err != nil {
 		return nil, errs.Wrap(err, errs.Unavailable, "retry at another node", "node %s does not accept connections", addr)
 	}
 	s := &session{addr: addr, lastUse: time.Now()}
 	s.lastRead.Store(time.Now().UnixNano())
-	s.mux, err = yamux.Client(&readClock{Conn: conn, last: &s.lastRead}, p.ycfg)
+	s.mux, err = yamux.Client(&conn{Conn: nc, last: &s.lastRead}, p.ycfg)
 	if err != nil {
-		conn.Close()
+		nc.Close()
 		return nil, errs.Wrap(err, errs.Internal, "report this fault", "session to %s cannot be set up", addr)
 	}
 	p.log.Debug("peer_connected", zap.String("addr", addr))
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -69,7 +69,7 @@
 
 func (p *peer) accept() {
 	for {
-		conn, err := p.ln.Accept()
+		nc, err := p.ln.Accept()
 		if err != nil {
 			if p.ctx.Err() != nil {
 				return
@@ -77,17 +77,17 @@
 			time.Sleep(p.cfg.CheckInterval)
 			continue
 		}
-		go p.serveConn(conn)
+		go p.serveConn(nc)
 	}
 }
 
-func (p *peer) serveConn(conn net.Conn) {
-	if err := sockopt.Guard(conn, p.cfg.SilenceTimeout); err != nil {
-		p.k.Log.Warn("peer_connection_unguarded", zap.Stringer("remote", conn.RemoteAddr()), zap.Error(err))
+func (p *peer) serveConn(nc net.Conn) {
+	if err := sockopt.Guard(nc, p.cfg.SilenceTimeout); err != nil {
+		p.k.Log.Warn("peer_connection_unguarded", zap.Stringer("remote", nc.RemoteAddr()), zap.Error(err))
 	}
-	mux, err := yamux.Server(conn, p.cfg.yamuxConfig(p.k.Log))
+	mux, err := yamux.Server(&conn{Conn: nc}, p.cfg.yamuxConfig(p.k.Log))
 	if err != nil {
-		conn.Close()
+		nc.Close()
 		return
 	}
 	p.mu.Lock()
@@ -112,24 +112,32 @@
 // source closes it or an exchange does not end well.
 func (p *peer) serveStream(st *yamux.Stream) {
 	defer st.Close()
-	br := bufio.NewReader(st)
-	for p.serveNext(st, br) {
+	in := &inbound{Stream: st, br: bufio.NewReader(st), headers: newHeaderEncoder()}
+	for p.serveNext(in) {
 	}
 }
 
+// inbound is a stream that another node has opened.
+type inbound struct {
+	*yamux.Stream
+	br       *bufio.Reader
+	contexts contextDecoder // of requests
+	headers  *headerEncoder // of answers
+}
+
 // serveNext serves one message and reports whether another may follow.
-func (p *peer) serveNext(st *yamux.Stream, br *bufio.Reader) bool {
-	if _, err := br.Peek(1); err != nil {
+func (p *peer) serveNext(st *inbound) bool {
+	if _, err := st.br.Peek(1); err != nil {
 		return false
 	}
 	st.SetReadDeadline(time.Now().Add(headTimeout))
 	var head wire.StreamHead
-	if err := readMessage(br, &head); err != nil {
+	if err := readMessage(st.br, &head); err != nil {
 		return p.reject(st, err)
 	}
 	switch kind := head.GetKind().(type) {
 	case *wire.StreamHead_Call:
-		return p.serveCall(st, br, kind.Call)
+		return p.serveCall(st, kind.Call)
 	case *wire.StreamHead_Withdraw:
 		id, err := call.ParseID(kind.Withdraw.GetAttemptId())
 		if err != nil {
@@ -152,12 +160,12 @@
 // reject logs a malformed stream; closing it tells the source, which treats
 // the attempt as lost. Nothing else on the session is touched. It reports false,
 // since nothing more can be read from the stream.
-func (p *peer) reject(st *yamux.Stream, err error) bool {
+func (p *peer) reject(st *inbound, err error) bool {
 	p.k.Log.Warn("peer_stream_rejected", zap.Stringer("remote", st.RemoteAddr()), zap.Error(err))
 	return false
 }
 
-func (p *peer) serveExchange(st *yamux.Stream, x *wire.Exchange) {
+func (p *peer) serveExchange(st *inbound, x *wire.Exchange) {
 	h, ok := p.k.Exchanges.Handler(x.GetTopic())
 	if !ok {
 		p.reject(st, errs.New(errs.Invalid, "upgrade this node", "exchange of unknown topic %q", x.GetTopic()))
@@ -174,16 +182,19 @@
 
 // serveCall serves one attempt and reports whether the source has sent another
 // message behind its answer.
-func (p *peer) serveCall(st *yamux.Stream, br *bufio.Reader, head *wire.CallHead) bool {
-	body, err := readBody(br, int(head.GetBodyBytes()), p.cfg.MaxRequestBytes)
+func (p *peer) serveCall(st *inbound, head *wire.CallHead) bool {
+	if err := st.contexts.decode(head); err != nil {
+		return p.reject(st, err)
+	}
+	body, err := readBody(st.br, int(head.GetBodyBytes()), p.cfg.MaxRequestBytes)
 	if err != nil {
 		return p.reject(st, err)
 	}
 	st.SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(head.GetTimeoutMs())*time.Millisecond)
 	defer cancel()
-	next := watchSource(br, cancel)
-	w := &answerWriter{bw: bufio.NewWriterSize(st, writeBufferBytes), hash: xxhash.New(), revision: p.k.Replica.Revision()}
+	next := watchSource(st.br, cancel)
+	w := &answerWriter{bw: bufio.NewWriterSize(st, writeBufferBytes), headers: st.headers, hash: xxhash.New(), revision: p.k.Replica.Revision()}
 	res := p.k.Target.Serve(ctx, head, body, w)
 	w.finish(res)
 	return w.err == nil && <-next
@@ -209,6 +220,7 @@
 // answerWriter sends the frames of one answer.
 type answerWriter struct {
 	bw       *bufio.Writer
+	headers  *headerEncoder
 	hash     *xxhash.Digest
 	bytes    uint64
 	started  bool
@@ -219,7 +231,7 @@
 // WriteHead implements kernel.AnswerWriter.
 func (w *answerWriter) WriteHead(status int, h http.Header, pr call.Pressure) error {
 	return w.writeHead(&wire.AnswerHead{
-		Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: uint32(status), Headers: EncodeHeader(h), Pressure: encodePressure(pr),
+		Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: uint32(status), Headers: w.headers.encode(h), Pressure: encodePressure(pr),
 	})
 }
 
--- a/plugin/peer/session.go
+++ b/plugin/peer/session.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,9 +50,15 @@
 
 // stream carries attempts one after the other.
 type stream struct {
-	mux  *yamux.Stream
-	br   *bufio.Reader
-	used time.Time // when the last attempt ended
+	mux      *yamux.Stream
+	br       *bufio.Reader
+	contexts contextEncoder // of requests
+	headers  *headerDecoder // of answers
+	used     time.Time      // when the last attempt ended
+}
+
+func newStream(mux *yamux.Stream) *stream {
+	return &stream{mux: mux, br: bufio.NewReader(mux), contexts: contextEncoder{}, headers: newHeaderDecoder()}
 }
 
 // release counts a stream out. It is kept for another attempt if reuse is set,
@@ -127,17 +132,3 @@
 	}
 	return stateLive
 }
-
-// readClock notes the time of each read.
-type readClock struct {
-	net.Conn
-	last *atomic.Int64
-}
-
-func (r *readClock) Read(p []byte) (int, error) {
-	n, err := r.Conn.Read(p)
-	if n > 0 {
-		r.last.Store(time.Now().UnixNano())
-	}
-	return n, err
-}
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,10 +68,14 @@
 	default:
 		t.unknown.Mark(1)
 	}
-	t.log.Info("attempt", zap.String("request", head.GetRequestId()), zap.String("service", head.GetService()), zap.String("class", head.GetClass()),
-		zap.Stringer("outcome", res.Outcome), zap.String("reason", string(res.Reason)), zap.Int("status", res.Status),
-		zap.Int("limit", res.Pressure.Limit), zap.Int("in_flight", res.Pressure.InFlight), zap.Int("queued", res.Pressure.Queued),
-		zap.Duration("took", time.Since(began)))
+	notable := res.Outcome != call.Answered || res.Status >= http.StatusInternalServerError
+	if t.k.Sampler.Keep(notable, head.GetCohort()) {
+		t.log.Info("attempt", zap.String("request", head.GetRequestId()), zap.String("service", head.GetService()), zap.String("class", head.GetClass()),
+			zap.String("from", head.GetSourceNode()), zap.Uint32("priority", head.GetPriority()), zap.Stringer("outcome", res.Outcome),
+			zap.String("reason", string(res.Reason)), zap.Int("status", res.Status), zap.Int("limit", res.Pressure.Limit),
+			zap.Int("in_flight", res.Pressure.InFlight), zap.Int("queued", res.Pressure.Queued), zap.Duration("told_wait", res.Pressure.QueueDelay),
+			zap.Duration("took", time.Since(began)), zap.Uint32("timeout_ms", head.GetTimeoutMs()))
+	}
 	return res
 }
 
@@ -123,6 +128,8 @@
 	verdict, displaced := a.ctrl.Offer(a.ticket, now)
 	t.deliver(displaced)
 	switch verdict.Kind {
+	case admission.Queued:
+		t.queued()
 	case admission.Run:
 		a.decided <- admission.Action{Ticket: a.ticket, Start: true}
 	case admission.Refused:
@@ -193,7 +200,10 @@
 		return "", false
 	}
 	token := call.NewID().String()
-	chain, _ := call.ParseID(a.head.GetChainId())
+	chain, err := call.ParseID(a.head.GetChainId())
+	if err != nil {
+		chain = call.NewID() // the caller's id of the request names the chain
+	}
 	e := &kernel.Execution{
 		Allowance: a.allowance,
 		Chain: call.Chain{
@@ -260,6 +270,9 @@
 	if resp.NotRun {
 		return refused(call.ReasonShed, 0), admission.Sample{Shed: true}
 	}
+	if resp.Unproved {
+		return call.Result{Outcome: call.Unknown, Reason: call.ReasonUnproved}, admission.Sample{Failed: true}
+	}
 	res := call.Result{Outcome: call.Answered, Status: resp.Status}
 	if err := w.WriteHead(resp.Status, resp.Header, a.pressure()); err != nil {
 		return call.Result{Outcome: call.Unknown, Reason: call.ReasonCanceled}, admission.Sample{Canceled: true}
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -31,6 +31,7 @@
 	admit    bool
 	cancel   context.CancelFunc
 	started  time.Time
+	waiting  chan struct{} // calls have begun to wait
 	answered metrics.Meter
 	refused  metrics.Meter
 	unknown  metrics.Meter
@@ -57,6 +58,7 @@
 		log:      k.Log,
 		admit:    !k.Settings.Baseline.Off(settings.MechanismAdmission),
 		started:  now,
+		waiting:  make(chan struct{}, 1),
 		registry: execution.NewRegistry(execution.DefaultRegistryConfig()),
 		claims:   execution.NewClaims(execution.DefaultClaimsConfig(), time.Time{}),
 		views:    execution.NewViews(k.NodeID, ClaimHolders, execution.DefaultClaimsConfig().ClockSkew),
@@ -98,12 +100,17 @@
 func (t *target) run(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	tick.Stop() // until calls wait
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
 	for {
 		select {
+		case <-t.waiting:
+			tick.Reset(tickInterval)
 		case now := <-tick.C:
-			t.tick(now)
+			if t.tick(now) == 0 {
+				tick.Stop()
+			}
 		case now := <-expire.C:
 			t.expire(now)
 		case <-ctx.Done():
@@ -112,11 +119,22 @@
 	}
 }
 
-func (t *target) tick(now time.Time) {
+// tick looks through the queue and returns how many calls wait.
+func (t *target) tick(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.ctrl != nil {
-		t.deliver(t.ctrl.Tick(now))
+	if t.ctrl == nil {
+		return 0
+	}
+	t.deliver(t.ctrl.Tick(now))
+	return t.ctrl.Waiting()
+}
+
+// queued lets the queue be looked through while calls wait.
+func (t *target) queued() {
+	select {
+	case t.waiting <- struct{}{}:
+	default: // that was asked for already
 	}
 }
 
--- a/routing/config.go
+++ b/routing/config.go
@@ -88,7 +88,7 @@
 	// between failure domains and balances load less.
 	LocalLoad float64
 
-	// LocalCost is how many times the score of the best member a member of the own
+	// LocalCost is how many times the delay of the best member a member of the own
 	// failure domain may have and still be used alone. A higher value stays longer
 	// with a member that has become slow or fails.
 	LocalCost float64
@@ -166,7 +166,7 @@
 		LastResortInFlight:  4,
 		LeavingHold:         time.Minute,
 		ForgetAfter:         time.Minute,
-		LocalLoad:           0.85,
+		LocalLoad:           0.95,
 		LocalCost:           2.5,
 		SaturatedLoad:       1,
 		SpillRatio:          0.2,
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -13,6 +13,9 @@
 	Priority call.Priority
 	Deadline time.Time // zero if there is none
 	Exclude  []string  // nodes tried before
+	// Anywhere says that a member refused the call for want of time or room: the
+	// member that answers soonest is chosen, in whichever region it is.
+	Anywhere bool
 }
 
 // Choice is the member that an attempt is sent to, and why.
@@ -23,7 +26,9 @@
 	Expected      time.Duration // expected response time if the call is served
 	RunnerUp      string        // node of the other candidate of the random pair, if any
 	RunnerUpScore float64
-	Candidates    int // members that the pair was drawn from
+	Candidates    int           // members that the pair was drawn from
+	Load          float64       // estimated part of the member's limit in use
+	PressureAge   time.Duration // of what the member told, 0 if it told nothing
 }
 
 // Rules that a Choice names.
@@ -31,6 +36,7 @@
 	RuleLeastLoaded = "least_loaded" // the better of two members of the own region
 	RuleLocal       = "local"        // a member of the own failure domain with room
 	RuleOnlyOne     = "only_one"     // no other member could be chosen
+	RuleSoonest     = "soonest"      // another one refused for want of time or room
 	RuleSpill       = "spill"        // the own region is saturated
 	RuleRemote      = "remote"       // the own region has no member to use
 	RuleProbe       = "probe"        // an ejected member is tried
@@ -67,6 +73,11 @@
 	if s := r.dueProbe(p.nearEjected, len(p.near) > 0, q, now); s != nil {
 		return r.probe(s, now)
 	}
+	if q.Anywhere {
+		if s := r.soonest(slices.Concat(p.near, p.far), q, now); s != nil {
+			return r.choice(s, nil, RuleSoonest, len(p.near)+len(p.far), now)
+		}
+	}
 	if len(p.near) > 0 {
 		return r.chooseNear(p, q, now)
 	}
@@ -115,9 +126,23 @@
 	}
 	best := math.Inf(1)
 	for _, s := range list {
-		best = min(best, s.score(&r.cfg, now))
+		best = min(best, s.delay(&r.cfg, now))
+	}
+	return filter(own, func(s *state) bool { return s.delay(&r.cfg, now) <= r.cfg.LocalCost*best })
+}
+
+// soonest returns the member with room that is expected to answer first, or nil.
+func (r *Router) soonest(list []*state, q Query, now time.Time) *state {
+	var best *state
+	for _, s := range list {
+		if s.saturated(&r.cfg, now) || !s.admits(&r.cfg, q.Priority, now) || !s.inTime(&r.cfg, q, now) {
+			continue
+		}
+		if best == nil || s.score(&r.cfg, now) < best.score(&r.cfg, now) {
+			best = s
+		}
 	}
-	return filter(own, func(s *state) bool { return s.score(&r.cfg, now) <= r.cfg.LocalCost*best })
+	return best
 }
 
 // trySpill chooses in another region if a member there serves the call and the
@@ -241,6 +266,10 @@
 func (r *Router) choice(s, runnerUp *state, rule string, candidates int, now time.Time) (Choice, Refusal) {
 	c := Choice{Member: s.Member, Rule: rule, Score: s.score(&r.cfg, now), Expected: s.expected(&r.cfg, now), Candidates: candidates}
 	s.probed = true
+	c.Load = s.utilization(&r.cfg, now)
+	if s.pressure.Limit > 0 {
+		c.PressureAge = now.Sub(s.pressureAt)
+	}
 	if runnerUp != nil {
 		c.RunnerUp = runnerUp.Node
 		c.RunnerUpScore = runnerUp.score(&r.cfg, now)
--- a/routing/pick_test.go
+++ b/routing/pick_test.go
@@ -155,3 +155,57 @@
 		t.Fatalf("got %+v after the new announcement", refusal)
 	}
 }
+
+// TestLocalMembersComeFirst keeps calls in the failure domain while its member has
+// room and is not much worse than the others.
+func TestLocalMembersComeFirst(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Region, cfg.Domain = "r1", "d1"
+	now := time.Unix(100, 0)
+	members := []Member{
+		{Node: "own", Region: "r1", Domain: "d1"}, {Node: "next", Region: "r1", Domain: "d2"}, {Node: "far", Region: "r2", Domain: "d3"},
+	}
+	told := func(limit, inFlight int, service time.Duration) call.Result {
+		return call.Result{Outcome: call.Answered, Status: 200, Latency: service, Pressure: call.Pressure{Limit: limit, InFlight: inFlight, ServiceTime: service, AdmitPriority: call.PriorityLow}}
+	}
+	for name, c := range map[string]struct {
+		own, next call.Result
+		want      string
+	}{
+		"both idle":      {told(10, 0, 20*time.Millisecond), told(10, 0, 20*time.Millisecond), "own"},
+		"somewhat slow":  {told(10, 4, 40*time.Millisecond), told(10, 0, 20*time.Millisecond), "own"},
+		"full":           {told(10, 10, 20*time.Millisecond), told(10, 2, 20*time.Millisecond), "next"},
+		"much too slow":  {told(10, 5, 200*time.Millisecond), told(10, 0, 20*time.Millisecond), "next"},
+		"region is full": {told(10, 12, 20*time.Millisecond), told(10, 12, 20*time.Millisecond), "far"},
+	} {
+		r := New(cfg, rand.New(rand.NewPCG(1, 2)))
+		r.Update(members, now)
+		for node, res := range map[string]call.Result{"own": c.own, "next": c.next, "far": told(10, 1, 20*time.Millisecond)} {
+			r.Start(node, now)
+			r.Finish(node, res, now)
+			r.Record(call.PriorityNormal, res, now)
+		}
+		choice, refusal := r.Pick(Query{Priority: call.PriorityNormal}, now)
+		if refusal.Reason != call.ReasonNone || choice.Member.Node != c.want {
+			t.Errorf("%s: %s by %s (%s), want %s", name, choice.Member.Node, choice.Rule, refusal.Reason, c.want)
+		}
+	}
+}
+
+// TestRefusedCallsGoWhereTheyEndSoonest sends a call that a near member refused to
+// a faster one, also in another region.
+func TestRefusedCallsGoWhereTheyEndSoonest(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Region, cfg.Domain = "r1", "d1"
+	now := time.Unix(100, 0)
+	r := New(cfg, rand.New(rand.NewPCG(1, 2)))
+	r.Update([]Member{{Node: "own", Region: "r1", Domain: "d1"}, {Node: "next", Region: "r1", Domain: "d2"}, {Node: "far", Region: "r2", Domain: "d3"}}, now)
+	for node, service := range map[string]time.Duration{"own": 900 * time.Millisecond, "next": 800 * time.Millisecond, "far": 300 * time.Millisecond} {
+		r.Start(node, now)
+		r.Finish(node, call.Result{Outcome: call.Answered, Status: 200, Latency: service, Pressure: call.Pressure{Limit: 10, ServiceTime: service, AdmitPriority: call.PriorityLow}}, now)
+	}
+	choice, _ := r.Pick(Query{Priority: call.PriorityCritical, Exclude: []string{"own"}, Anywhere: true}, now)
+	if choice.Member.Node != "far" || choice.Rule != RuleSoonest {
+		t.Fatalf("went to %s by %s", choice.Member.Node, choice.Rule)
+	}
+}
--- a/routing/score.go
+++ b/routing/score.go
@@ -13,10 +13,14 @@
 // better.
 func (s *state) score(cfg *Config, now time.Time) float64 {
 	u := s.utilization(cfg, now)
-	busy := (s.distance(cfg).Seconds() + s.serviceTime(cfg, now)) * (1 + loadWeight*u*u)
-	wait := s.queueDelay(cfg, now).Seconds()
-	lost := s.badRate(cfg, now) * cfg.FailureCost.Seconds()
-	return busy + wait + lost
+	busy := s.distance(cfg).Seconds() + s.serviceTime(cfg, now)
+	return s.delay(cfg, now) + loadWeight*u*u*busy
+}
+
+// delay is the score without regard to the load that is not yet felt.
+func (s *state) delay(cfg *Config, now time.Time) float64 {
+	busy := s.distance(cfg).Seconds() + s.serviceTime(cfg, now)
+	return busy + s.queueDelay(cfg, now).Seconds() + s.badRate(cfg, now)*cfg.FailureCost.Seconds()
 }
 
 // distance returns the round trip to the member.
--- a/settings/field.go
+++ b/settings/field.go
@@ -69,6 +69,7 @@
 		{section: "limits", key: "buffer_bytes", fallback: "262144", set: number(&s.Limits.BufferBytes, 0, 1<<30)},
 		{section: "log", key: "path", set: text(&s.Log.Path)},
 		{section: "log", key: "level", fallback: "info", set: oneOf(&s.Log.Level, "debug", "info", "warn", "error")},
+		{section: "log", key: "sample", fallback: "1", set: number(&s.Log.Sample, 1, 1<<20)},
 		{section: "log", key: "buffer", fallback: "8192", set: number(&s.Log.Buffer, 1, 1<<20)},
 		{section: "baseline", key: "mode", fallback: "none", set: oneOf(&s.Baseline.Mode, "none", modeNaive)},
 		{section: "baseline", key: "disable", set: listOf(&s.Baseline.Disable, mechanisms...)},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -83,6 +83,7 @@
 type Log struct {
 	Path   string // empty writes to standard output
 	Level  string // debug, info, warn or error
+	Sample int    // one of so many chains that went well is logged
 	Buffer int    // lines held while the output is slow; more are dropped and counted
 }
 
