Calls refused for want of time go to another region; free room is used for tight calls

Cause: in the region whose copies of the deep service are slow, a publication takes 1.4 s of its 1.5 s. The target refused it for want of time although slots were free (110 refusals in 12 s), and the first node gave up because it judged the next attempt by the member that had refused (log of the region's nodes). Ruled out: full queues (none waited).

--- a/admission/config.go
+++ b/admission/config.go
@@ -56,6 +56,11 @@
 	// a value near 1 leaves nothing for errors of the prediction.
 	SlackFraction float64
 
+	// FreeHope is the part of the expected service time that a call must have left
+	// to be run while there is room. A lower value runs more calls that end late,
+	// on room that nobody else needs.
+	FreeHope float64
+
 	// MinShare is the fraction of starts that goes to less important waiting
 	// calls as long as no more important call would miss its deadline.
 	MinShare float64
@@ -92,6 +97,9 @@
 // when the last slots are taken.
 const slotsPart = 0.95
 
+// fixedFreeHope is FreeHope where the slots are known: the room is then truly free.
+const fixedFreeHope = 0.6
+
 // FixLimit makes the concurrency limit that of a backend server that tells its
 // slots truthfully, in place of a learned one. Such a backend server may never
 // answer what it cannot queue.
@@ -99,6 +107,7 @@
 	c.MaxLimit = max(1, int(slotsPart*float64(slots)))
 	c.Disabled.Limit = true
 	c.Disabled.Ramp = true
+	c.FreeHope = fixedFreeHope
 }
 
 // DefaultConfig returns settings for backend servers of 8 to 140 slots.
@@ -118,6 +127,7 @@
 		QueueLimit:     512,
 		MaxQueueDelay:  500 * time.Millisecond,
 		SlackFraction:  0.6,
+		FreeHope:       1,
 		MinShare:       0.02,
 		RampDuration:   10 * time.Second,
 		RampStart:      0.25,
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -157,13 +157,18 @@
 	if !t.Deadline.After(now) {
 		return call.ReasonDeadline
 	}
-	slack := t.Deadline.Sub(now) - c.lat.expect(t.Class, now)
-	if slack <= 0 {
-		return call.ReasonDeadline
-	}
+	expected := c.lat.expect(t.Class, now)
+	left := t.Deadline.Sub(now)
 	if c.inFlight < c.limit(now) && c.queue.size == 0 {
+		if left < time.Duration(c.cfg.FreeHope*float64(expected)) {
+			return call.ReasonDeadline
+		}
 		return call.ReasonNone
 	}
+	slack := left - expected
+	if slack <= 0 {
+		return call.ReasonDeadline
+	}
 	wait := c.wait(c.queue.ahead(t)+1, t.Priority, now)
 	if wait > time.Duration(c.cfg.SlackFraction*float64(slack)) {
 		return call.ReasonDeadline
--- /dev/null
+++ b/admission/fixed_test.go
@@ -0,0 +1,79 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+)
+
+// TestFixedLimitStaysBelowTheSlots offers more calls than a backend server can
+// take that never answers what it cannot queue.
+func TestFixedLimitStaysBelowTheSlots(t *testing.T) {
+	for _, slots := range []int{1, 10, 30, 159} {
+		cfg := DefaultConfig()
+		cfg.FixLimit(slots)
+		now := time.Unix(0, 0)
+		c := New(cfg, rand.New(rand.NewPCG(1, 2)), now)
+		running := 0
+		for range 2 * slots {
+			v, actions := c.Offer(&Ticket{Class: "a", Deadline: now.Add(time.Minute)}, now)
+			if v.Kind == Run {
+				running++
+			}
+			for _, a := range actions {
+				if a.Start {
+					running++
+				}
+			}
+		}
+		if running > slots || running < max(1, slots*9/10) {
+			t.Errorf("%d calls run at %d slots", running, slots)
+		}
+	}
+}
+
+// TestFreeRoomIsUsedForTightCalls runs a call that has less time than usual while
+// there is room, and refuses it while others wait.
+func TestFreeRoomIsUsedForTightCalls(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.FixLimit(4)
+	now := time.Unix(0, 0)
+	c := New(cfg, rand.New(rand.NewPCG(1, 2)), now)
+	running := []*Ticket{}
+	offer := func(left time.Duration) VerdictKind {
+		ticket := &Ticket{Class: "a", Deadline: now.Add(left)}
+		v, _ := c.Offer(ticket, now)
+		if v.Kind == Run {
+			running = append(running, ticket)
+		}
+		return v.Kind
+	}
+	finish := func(n int) {
+		for _, ticket := range running[:n] {
+			c.Done(ticket, Sample{Latency: time.Second}, now)
+		}
+		running = running[n:]
+	}
+	for range 50 { // calls take one second
+		offer(time.Minute)
+		finish(1)
+	}
+	for range 2 {
+		if got := offer(time.Minute); got != Run {
+			t.Fatalf("a call with ample time: %v", got)
+		}
+	}
+	if got := offer(800 * time.Millisecond); got != Run {
+		t.Errorf("a tight call with free room: %v", got)
+	}
+	if got := offer(300 * time.Millisecond); got != Refused {
+		t.Errorf("a hopeless call with free room: %v", got)
+	}
+	for offer(time.Minute) == Run {
+	}
+	if got := offer(800 * time.Millisecond); got != Refused {
+		t.Errorf("a tight call while others wait: %v, %v", got, call.ReasonDeadline)
+	}
+}
--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -73,6 +73,7 @@
 	tried    []string
 	attempts int
 	crowded  bool           // the last attempt was refused for want of time or room
+	slow     bool           // it was refused for want of time
 	reached  int            // attempts that may have reached a backend server
 	unknown  *kernel.Answer // an earlier attempt that may have run
 	claims   []claim
@@ -118,8 +119,13 @@
 			r.unknown = ans
 			r.Chain.Repeat = true
 		}
+		r.slow = ans.Outcome == call.Refused && ans.Reason == call.ReasonDeadline
 		r.crowded = ans.Outcome == call.Refused && (ans.Reason == call.ReasonDeadline || ans.Reason == call.ReasonQueueFull || ans.Reason == call.ReasonShed)
-		if !r.retry(ctx, ans, choice.Expected) {
+		expected := choice.Expected
+		if r.crowded {
+			expected = 0 // another member may have the time that this one lacks
+		}
+		if !r.retry(ctx, ans, expected) {
 			return r.final(ans)
 		}
 	}
@@ -128,7 +134,7 @@
 // pick chooses the target of the next attempt: a member that was not tried
 // yet, or any member once all were tried.
 func (r *request) pick() (routing.Choice, routing.Refusal) {
-	q := routing.Query{Priority: r.Chain.Priority, Deadline: r.Chain.Deadline, Exclude: r.tried, Anywhere: r.crowded}
+	q := routing.Query{Priority: r.Chain.Priority, Deadline: r.Chain.Deadline, Exclude: r.tried, Anywhere: r.crowded, Elsewhere: r.slow}
 	choice, refusal := r.s.pick(r.c.k.Fleet, q, r.c.naive)
 	if refusal.Reason != call.ReasonNoMember || len(r.tried) == 0 {
 		return choice, refusal
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -16,6 +16,10 @@
 	// Anywhere says that a member refused the call for want of time or room: the
 	// member that answers soonest is chosen, in whichever region it is.
 	Anywhere bool
+	// Elsewhere says that a member had too little time for the call. The members
+	// of its region call the same members further down, so another region is tried
+	// first.
+	Elsewhere bool
 }
 
 // Choice is the member that an attempt is sent to, and why.
@@ -74,7 +78,7 @@
 		return r.probe(s, now)
 	}
 	if q.Anywhere {
-		if s := r.soonest(slices.Concat(p.near, p.far), q, now); s != nil {
+		if s := r.soonest(p, q, now); s != nil {
 			return r.choice(s, nil, RuleSoonest, len(p.near)+len(p.far), now)
 		}
 	}
@@ -132,7 +136,16 @@
 }
 
 // soonest returns the member with room that is expected to answer first, or nil.
-func (r *Router) soonest(list []*state, q Query, now time.Time) *state {
+func (r *Router) soonest(p *pool, q Query, now time.Time) *state {
+	if q.Elsewhere {
+		if s := r.soonestOf(p.far, q, now); s != nil {
+			return s
+		}
+	}
+	return r.soonestOf(slices.Concat(p.near, p.far), q, now)
+}
+
+func (r *Router) soonestOf(list []*state, q Query, now time.Time) *state {
 	var best *state
 	for _, s := range list {
 		if s.saturated(&r.cfg, now) || !s.admits(&r.cfg, q.Priority, now) || !s.inTime(&r.cfg, q, now) {
