Second attempts begin by a timer, without a goroutine for each idempotent call

Cause: a goroutine for each idempotent call and its grown stack took a tenth of the first node's processor time (profile).

--- a/plugin/caller/attempt.go
+++ b/plugin/caller/attempt.go
@@ -22,6 +22,7 @@
 	id      call.ID
 	share   *retry.Share // nil for an attempt that carries no allowance
 	granted int          // retry allowance that travels with the attempt
+	repeat  bool         // an earlier attempt of the chain may have run
 	ctx     context.Context
 	cancel  context.CancelFunc
 }
@@ -29,13 +30,15 @@
 // begin counts an attempt in. hedged ones run beside another that holds the
 // allowance.
 func (r *request) begin(ctx context.Context, choice routing.Choice, hedged bool) *attempt {
-	if r.attempts == 0 {
+	if !hedged && r.attempts == 0 {
 		r.s.sent(&r.Chain)
 	}
+	r.mu.Lock()
 	r.attempts++
 	r.tried = append(r.tried, choice.Member.Node)
 	r.story.routed(r.attempts, choice, hedged)
-	a := &attempt{r: r, choice: choice, id: call.NewID()}
+	r.mu.Unlock()
+	a := &attempt{r: r, choice: choice, id: call.NewID(), repeat: hedged || r.Chain.Repeat}
 	if !hedged {
 		a.share = r.share
 		a.granted = r.share.Grant()
@@ -50,59 +53,56 @@
 func (r *request) send(ctx context.Context, choice routing.Choice) *kernel.Answer {
 	first := r.begin(ctx, choice, false)
 	if !r.mayHedge() {
-		ans := first.do()
-		r.count(ans)
+		return r.count(first.do())
+	}
+	// The timer runs the second attempt, so that the usual call needs no goroutine
+	// of its own.
+	second := make(chan *kernel.Answer, 1)
+	timer := time.AfterFunc(r.hedgeDelay(), func() { second <- r.hedge(ctx, first) })
+	ans := r.count(first.do())
+	if timer.Stop() {
 		return ans
 	}
-	results := make(chan *kernel.Answer, 2)
-	go func() { results <- first.do() }()
-	timer := time.NewTimer(r.hedgeDelay())
-	defer timer.Stop()
-	select {
-	case ans := <-results:
-		r.count(ans)
+	if good(ans) {
+		go func() { discard(<-second) }()
 		return ans
-	case <-timer.C:
 	}
-	second, ok := r.hedge(ctx)
-	if !ok {
-		ans := <-results
-		r.count(ans)
-		return ans
-	}
-	go func() { results <- second.do() }()
-	return r.better(<-results, results)
+	return r.better(ans, <-second)
 }
 
-// better returns an answer that succeeded, or the later one. The other attempt is
-// cancelled by the end of the request's context.
-func (r *request) better(ans *kernel.Answer, results <-chan *kernel.Answer) *kernel.Answer {
-	r.count(ans)
-	if ans.Outcome == call.Answered && ans.Status < http.StatusInternalServerError {
-		go func() { discard(<-results) }()
-		return ans
+// better returns the better of two answers; the second is nil if there was no
+// second attempt.
+func (r *request) better(first, second *kernel.Answer) *kernel.Answer {
+	if second == nil {
+		return first
 	}
-	other := <-results
-	r.count(other)
-	if ans.Outcome == call.Answered && other.Outcome != call.Answered {
-		discard(other)
-		return ans
+	r.Chain.Repeat = true
+	r.count(second)
+	if first.Outcome == call.Answered && second.Outcome != call.Answered {
+		discard(second)
+		return first
 	}
-	discard(ans)
-	return other
+	discard(first)
+	return second
+}
+
+// good reports whether an answer needs no other.
+func good(ans *kernel.Answer) bool {
+	return ans.Outcome == call.Answered && ans.Status < http.StatusInternalServerError
 }
 
 func discard(ans *kernel.Answer) {
-	if ans.Body != nil {
+	if ans != nil && ans.Body != nil {
 		ans.Body.Close()
 	}
 }
 
 // count notes whether an attempt may have reached a backend server.
-func (r *request) count(ans *kernel.Answer) {
+func (r *request) count(ans *kernel.Answer) *kernel.Answer {
 	if ans.Outcome != call.Refused || ans.Reason == call.ReasonShed || ans.Reason == call.ReasonMisdirected {
 		r.reached++
 	}
+	return ans
 }
 
 // hedgePart is the part of the time left after which another member is asked:
@@ -119,19 +119,23 @@
 	return r.Chain.Idempotent && !r.c.naive && r.Allowance.Left()+r.share.Held() > 0 && (r.Chain.MaxSends == 0 || r.reached+1 < r.Chain.MaxSends)
 }
 
-// hedge begins a second attempt at another member if allowance and budget pay
-// for it.
-func (r *request) hedge(ctx context.Context) (*attempt, bool) {
-	if ctx.Err() != nil || !r.s.takeRetry(r.share) {
-		return nil, false
+// hedge makes a second attempt beside the first if allowance and budget pay for
+// it, and ends the first once it has an answer that needs no other. It returns nil
+// if there was no second attempt.
+func (r *request) hedge(ctx context.Context, first *attempt) *kernel.Answer {
+	if ctx.Err() != nil || first.ctx.Err() != nil || !r.s.takeRetry(r.share) {
+		return nil
 	}
 	choice, refusal := r.pick()
 	if refusal.Reason != call.ReasonNone {
-		return nil, false
+		return nil
 	}
 	r.c.meters.retries.Inc(1)
-	r.Chain.Repeat = true
-	return r.begin(ctx, choice, true), true
+	ans := r.begin(ctx, choice, true).do()
+	if good(ans) {
+		first.cancel()
+	}
+	return ans
 }
 
 // do makes the attempt and learns from its ending.
@@ -163,7 +167,7 @@
 		TimeoutMs: uint32(max(time.Until(r.Chain.Deadline).Milliseconds(), 0)), Retries: uint32(a.granted),
 		Method: r.Method, Target: r.Target, Headers: peer.EncodeHeader(r.Header), BodyBytes: uint32(len(r.Body)),
 		SourceNode: r.c.k.NodeID, IdempotencyKey: r.IdempotencyKey, Depth: uint32(r.Chain.Depth + 1),
-		RequestId: r.Chain.RequestID, Origin: r.Chain.Origin, Cohort: r.Chain.Cohort, Repeat: r.Chain.Repeat,
+		RequestId: r.Chain.RequestID, Origin: r.Chain.Origin, Cohort: r.Chain.Cohort, Repeat: a.repeat,
 		ObjectiveMs: uint32(r.Chain.Objective.Milliseconds()), Host: r.Host,
 	}
 }
--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -67,9 +67,11 @@
 // request is one request on its way.
 type request struct {
 	*kernel.Request
-	c        *caller
-	s        *service
-	share    *retry.Share
+	c     *caller
+	s     *service
+	share *retry.Share
+
+	mu       sync.Mutex // an attempt beside another one changes tried, attempts and story
 	tried    []string
 	attempts int
 	crowded  bool           // the last attempt was refused for want of time or room
--- a/plugin/caller/story.go
+++ b/plugin/caller/story.go
@@ -54,6 +54,8 @@
 // tell logs the decisions about a request and how it ended.
 func (r *request) tell(ans *kernel.Answer) {
 	took := time.Since(r.story.began)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if !r.c.k.Sampler.Keep(r.notable(ans, took), r.Chain.Cohort) {
 		return
 	}
