The platform's bounds are in force; refused calls are sent again only where room is thought to be

Cause: the settings template gives the bounds as a table, not as the list of the settings file, so the node ran without any: no bound on retries that all nodes hold together, no free retry after a refusal by a node, no grace time (the two processes that were killed at its end). Found while reading a request's story: rule=retry_after after a refusal by a node; a log of the text showed JSON.

A call that members refused for want of room or time is now sent again only to a member that is thought to have room, once for normal and low priorities, three times for others.

Story of one request from the logs of nodes: dogwoodhatch explain. Log lines are written together.

--- a/apps/dogwoodhatch/main.go
+++ b/apps/dogwoodhatch/main.go
@@ -98,5 +98,6 @@
 	add(parser.Command, "members", "List the members that the node knows", &membersCommand{env: env})
 	add(parser.Command, "status", "Print the state of the node", &statusCommand{env: env})
 	add(parser.Command, "traffic", "Summarize the requests that the node has carried", &trafficCommand{env: env})
+	add(parser.Command, "explain", "Tell the story of one request from the logs of nodes", &explainCommand{env: env})
 	add(parser.Command, "drain", "Begin a graceful shutdown of the node", &drainCommand{env: env})
 }
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -40,7 +40,6 @@
 	Backend    Backend
 	Dialect    BackendDialect // nil speaks the project's own
 	Routes     *route.Book    // desired state of routes
-	Bounds     Bounds
 	Replica    Replica
 	Records    *Records
 	Store      store.Store // nil without a store
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -30,15 +30,46 @@
 
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
+	b := &batch{out: out, dropped: &w.dropped}
 	for line := range w.lines {
 		if line == nil {
+			b.flush()
 			w.flushed <- struct{}{}
 			continue
 		}
-		if _, err := out.Write(line); err != nil {
-			w.dropped.Add(1)
+		b.add(line)
+		if len(w.lines) == 0 || len(b.buf) >= batchBytes {
+			b.flush()
 		}
 	}
+	b.flush()
+}
+
+// batchBytes is the size from which buffered lines are written although more
+// follow.
+const batchBytes = 32 << 10
+
+// batch writes lines together, since each write costs a system call.
+type batch struct {
+	out     io.Writer
+	buf     []byte
+	lines   uint64
+	dropped *atomic.Uint64
+}
+
+func (b *batch) add(line []byte) {
+	b.buf = append(b.buf, line...)
+	b.lines++
+}
+
+func (b *batch) flush() {
+	if b.lines == 0 {
+		return
+	}
+	if _, err := b.out.Write(b.buf); err != nil {
+		b.dropped.Add(b.lines)
+	}
+	b.buf, b.lines = b.buf[:0], 0
 }
 
 // Write queues one line; it drops the line when the buffer is full.
--- a/node/node.go
+++ b/node/node.go
@@ -107,7 +107,8 @@
 		return err
 	}
 	n.log.Info("node_started", zap.String("node", n.kernel.NodeID), zap.String("region", n.settings.Node.Region),
-		zap.String("failure_domain", n.settings.Node.FailureDomain), zap.String("peer", n.settings.Listen.Peer))
+		zap.String("failure_domain", n.settings.Node.FailureDomain), zap.String("peer", n.settings.Listen.Peer),
+		zap.Duration("grace", n.settings.Bounds.Grace), zap.Float64("retry_ratio", n.settings.Bounds.RetryRatio), zap.Float64("retry_slack", n.settings.Bounds.RetrySlack))
 	go n.watchSettings()
 	select {
 	case <-n.kernel.Drain.Requested():
@@ -129,7 +130,7 @@
 	began := time.Now()
 	n.log.Info("node_leaving", zap.Int("in_flight", n.kernel.Drain.InFlight()))
 	limit := n.settings.Backend.DrainTimeout
-	if grace := n.kernel.Bounds.Grace; grace > 0 {
+	if grace := n.settings.Bounds.Grace; grace > 0 {
 		limit = min(limit, grace-graceReserve)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
@@ -151,7 +152,7 @@
 
 // stopTimeout bounds the end of the plug-ins.
 func (n *Node) stopTimeout() time.Duration {
-	if n.kernel.Bounds.Grace > 0 {
+	if n.settings.Bounds.Grace > 0 {
 		return graceReserve / 2
 	}
 	return stopTimeout
--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -138,7 +138,7 @@
 func (r *request) pick() (routing.Choice, routing.Refusal) {
 	q := routing.Query{Priority: r.Chain.Priority, Deadline: r.Chain.Deadline, Exclude: r.tried, Anywhere: r.crowded, Elsewhere: r.slow}
 	choice, refusal := r.s.pick(r.c.k.Fleet, q, r.c.naive)
-	if refusal.Reason != call.ReasonNoMember || len(r.tried) == 0 {
+	if refusal.Reason != call.ReasonNoMember || len(r.tried) == 0 || r.crowded {
 		return choice, refusal
 	}
 	r.tried = nil
@@ -174,12 +174,22 @@
 	return r.Chain.MaxSends == 0 || r.reached < r.Chain.MaxSends
 }
 
+// crowdedRetries returns how often a call is sent again after members had no time
+// or room for it. Each try costs the nodes and the links between them, most of all
+// when everything is full.
+func crowdedRetries(p call.Priority) int {
+	if p <= call.PriorityHigh {
+		return 3
+	}
+	return 1
+}
+
 // retry decides about another attempt and waits the backoff.
 func (r *request) retry(ctx context.Context, ans *kernel.Answer, expected time.Duration) bool {
 	if r.c.naive {
 		return r.attempts <= naiveRetries && ctx.Err() == nil
 	}
-	if !r.mayReach() {
+	if !r.mayReach() || r.crowded && r.attempts > crowdedRetries(r.Chain.Priority) {
 		return false
 	}
 	d := r.s.decide(ans.Result, r.Chain.Idempotent, r.attempts, time.Until(r.Chain.Deadline), expected, r.share)
--- a/plugin/caller/service.go
+++ b/plugin/caller/service.go
@@ -28,7 +28,7 @@
 	router  *routing.Router
 	budget  *retry.Budget
 	retries retry.Config
-	bounds  kernel.Bounds // of the whole fleet; a RetryRatio of 0 leaves them to this node
+	bounds  settings.Bounds // of the whole fleet; a RetryRatio of 0 leaves them to this node
 	rng     *rand.Rand
 	seen    uint64 // version of the fleet that the router knows
 	members []membership.Member
@@ -45,7 +45,7 @@
 	if k.Settings.Baseline.Off(settings.MechanismThrottle) {
 		cfg.ThrottleFactor = math.MaxFloat64
 	}
-	s := &service{name: name, router: routing.New(cfg, rng), bounds: k.Bounds, retries: retry.DefaultConfig(), rng: rng}
+	s := &service{name: name, router: routing.New(cfg, rng), bounds: k.Settings.Bounds, retries: retry.DefaultConfig(), rng: rng}
 	if s.shared() {
 		s.budget = retry.NewFleetBudget(s.share(k.Fleet))
 		s.retries.FreeRefusals = true
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -14,7 +14,8 @@
 	Deadline time.Time // zero if there is none
 	Exclude  []string  // nodes tried before
 	// Anywhere says that a member refused the call for want of time or room: the
-	// member that answers soonest is chosen, in whichever region it is.
+	// member that answers soonest is chosen, in whichever region it is, and none if
+	// none is thought to have room.
 	Anywhere bool
 	// Elsewhere says that a member had too little time for the call. The members
 	// of its region call the same members further down, so another region is tried
@@ -81,6 +82,7 @@
 		if s := r.soonest(p, q, now); s != nil {
 			return r.choice(s, nil, RuleSoonest, len(p.near)+len(p.far), now)
 		}
+		return r.refuse(call.ReasonThrottled) // it would only be refused again
 	}
 	if len(p.near) > 0 {
 		return r.chooseNear(p, q, now)
--- a/settings/field.go
+++ b/settings/field.go
@@ -58,7 +58,10 @@
 		{section: "platform", key: "callers", set: address(&s.Platform.Callers)},
 		{section: "platform", key: "ready", set: address(&s.Platform.Ready)},
 		{section: "platform", key: "backend", set: address(&s.Platform.Backend)},
-		{section: "platform", key: "bounds", set: text(&s.Platform.Bounds)},
+		{section: "bounds", key: "grace", set: duration(&s.Bounds.Grace, 2*time.Second, time.Hour)},
+		{section: "bounds", key: "retry_ratio", set: fraction(&s.Bounds.RetryRatio, 0, 10)},
+		{section: "bounds", key: "retry_slack", set: fraction(&s.Bounds.RetrySlack, 0, 1e6)},
+		{section: "bounds", key: "retry_window", fallback: "10s", set: duration(&s.Bounds.RetryWindow, time.Second, time.Hour)},
 		{section: "admin", key: "credentials", set: credentials(&s.Admin.Credentials)},
 		{section: "admin", key: "admins", set: list(&s.Admin.Admins)},
 		{section: "backend", key: "shed_header", fallback: "X-Shed", set: text(&s.Backend.ShedHeader), mayBeEmpty: true},
@@ -141,6 +144,17 @@
 	}
 }
 
+func fraction(dst *float64, low, high float64) func(string) error {
+	return func(v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(n >= low && n <= high) {
+			return fmt.Errorf("is no number in range; use %v to %v", low, high)
+		}
+		*dst = n
+		return nil
+	}
+}
+
 func number(dst *int, low, high int) func(string) error {
 	return func(v string) error {
 		n, err := strconv.Atoi(v)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,7 @@
 	Listen   Listen
 	Store    Store
 	Platform Platform
+	Bounds   Bounds
 	Admin    Admin
 	Backend  Backend
 	Limits   Limits
@@ -50,13 +51,25 @@
 	Timeout time.Duration // of one call
 }
 
-// Platform holds the addresses that the node serves in the platform's own form,
-// and the platform's bounds as it writes them. Empty addresses serve nothing.
+// Platform holds the addresses that the node serves in the platform's own form.
+// Empty addresses serve nothing.
 type Platform struct {
 	Callers string // callers and the backend server on the VM
 	Ready   string // the platform's question whether the node takes work
 	Backend string // announcements of the backend server
-	Bounds  string // list of name=value
+}
+
+// Bounds are limits that the place where the node runs sets.
+type Bounds struct {
+	// Grace is the time from the request to stop until the process is killed; 0
+	// if nothing kills it.
+	Grace time.Duration
+	// RetryRatio and RetrySlack bound the repeated requests that all nodes
+	// together send to one service within RetryWindow: RetryRatio of its requests
+	// plus RetrySlack. A RetryRatio of 0 leaves the bound to each node.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 }
 
 // Admin configures the administration API.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 )
@@ -78,3 +79,19 @@
 		}
 	})
 }
+
+func TestBoundsOfThePlace(t *testing.T) {
+	s, err := load(t, valid+"[bounds]\ngrace = 6s\nretry_ratio = 0.2\nretry_slack =\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b := s.Bounds; b.Grace != 6*time.Second || b.RetryRatio != 0.2 || b.RetrySlack != 0 || b.RetryWindow != 10*time.Second {
+		t.Errorf("bounds %+v", b)
+	}
+	_, err = load(t, valid+"[bounds]\ngrace = soon\nretry_ratio = NaN\n")
+	for _, want := range []string{"[bounds] grace", "[bounds] retry_ratio", "2 faults"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("missing %q in %v", want, err)
+		}
+	}
+}
