--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 .PHONY: plots build check test race demo bench soak generate clean
 
 build:
-	$(GO) build -o $(BIN)/ ./apps/...
+	$(GO) build -o $(BIN)/ ./apps/... ./platform/demo
 
 check:
 	@files=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')); \
@@ -18,6 +18,7 @@
 
 demo: build
 	scripts/demo.sh
+	platform/demo.sh
 
 bench: build
 	scripts/bench.sh
