--- a/call/call.go
+++ b/call/call.go
@@ -88,7 +88,6 @@
 	ReasonKeyHeld     Reason = "key_held"     // the idempotency key was submitted before
 	ReasonKeyUnproved Reason = "key_unproved" // the idempotency key cannot be proved unused
 	ReasonBadRequest  Reason = "bad_request"  // the request is malformed or too large
-	ReasonNoRoute     Reason = "no_route"     // the desired state has no route for the request
 	ReasonNoState     Reason = "no_state"     // this node knows no desired state yet
 	ReasonUnproved    Reason = "unproved"     // the backend server refused without proof that it did not run
 	ReasonMisdirected Reason = "misdirected"  // another backend server has the address
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/tokenbucket"
+)
 
 // BudgetConfig sets the retry budget towards one target service.
 type BudgetConfig struct {
@@ -43,58 +47,40 @@
 // deposit and retries withdraw. It starts full and is not safe for concurrent
 // use.
 type Budget struct {
-	cfg    BudgetConfig
-	tokens float64
-	filled time.Time
+	ratio  float64
+	bucket tokenbucket.Bucket
 }
 
 // NewBudget returns a full budget.
 func NewBudget(cfg BudgetConfig) *Budget {
-	return &Budget{cfg: cfg, tokens: cfg.Burst}
+	b := NewFleetBudget(cfg)
+	b.bucket.Tokens = cfg.Burst
+	return b
 }
 
 // NewFleetBudget returns the share of a node of a bound that all nodes hold
 // together. It starts empty, so that nodes that are restarted do not gain by it.
-func NewFleetBudget(cfg BudgetConfig) *Budget { return &Budget{cfg: cfg} }
+func NewFleetBudget(cfg BudgetConfig) *Budget {
+	return &Budget{ratio: cfg.Ratio, bucket: tokenbucket.Bucket{Burst: cfg.Burst, PerSecond: cfg.MinPerSecond}}
+}
 
 // Resize takes another share, as the number of nodes changes.
 func (b *Budget) Resize(cfg BudgetConfig) {
-	b.cfg = cfg
-	b.tokens = min(b.tokens, cfg.Burst)
+	b.ratio = cfg.Ratio
+	b.bucket.Burst = cfg.Burst
+	b.bucket.PerSecond = cfg.MinPerSecond
+	b.bucket.Deposit(0) // no more than the new burst is kept
 }
 
 // Debit counts a repeated request that is sent in any case, such as a call below
 // a repeated one. It may leave the budget in debt, up to one burst.
-func (b *Budget) Debit(now time.Time) {
-	b.fill(now)
-	b.tokens = max(b.tokens-1, -b.cfg.Burst)
-}
+func (b *Budget) Debit(now time.Time) { b.bucket.Debit(now) }
 
 // Deposit records what pays for retries: a success, or a request of a caller.
 func (b *Budget) Deposit(now time.Time) {
-	b.fill(now)
-	b.tokens = min(b.tokens+b.cfg.Ratio, b.cfg.Burst)
+	b.bucket.Fill(now)
+	b.bucket.Deposit(b.ratio)
 }
 
 // Withdraw spends one retry and reports false if the budget has none.
-func (b *Budget) Withdraw(now time.Time) bool {
-	b.fill(now)
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
-
-// fill adds what the minimum rate has brought since the last call.
-func (b *Budget) fill(now time.Time) {
-	if b.filled.IsZero() {
-		b.filled = now
-	}
-	elapsed := now.Sub(b.filled)
-	if elapsed <= 0 {
-		return
-	}
-	b.filled = now
-	b.tokens = min(b.tokens+elapsed.Seconds()*b.cfg.MinPerSecond, b.cfg.Burst)
-}
+func (b *Budget) Withdraw(now time.Time) bool { return b.bucket.Take(0, now) }
--- a/retry/decide_test.go
+++ b/retry/decide_test.go
@@ -41,7 +41,7 @@
 		allowance := NewAllowance(rapid.IntRange(0, 3).Draw(t, "allowance"))
 		share := allowance.Share()
 		b := NewBudget(BudgetConfig{Burst: float64(rapid.IntRange(0, 2).Draw(t, "burst"))})
-		before, tokens := share.held+allowance.Left(), b.tokens
+		before, tokens := share.held+allowance.Left(), b.bucket.Tokens
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
 
 		d := Decide(cfg, res, idempotent, attempt, timeLeft, expected, share, b, rng, start)
@@ -52,8 +52,8 @@
 		}
 		spent := before - share.held - allowance.Left()
 		if !d.Retry {
-			if spent != 0 || b.tokens != tokens {
-				t.Fatalf("%s spent %d of the allowance and %v of the budget", d.Rule, spent, tokens-b.tokens)
+			if spent != 0 || b.bucket.Tokens != tokens {
+				t.Fatalf("%s spent %d of the allowance and %v of the budget", d.Rule, spent, tokens-b.bucket.Tokens)
 			}
 			mayRun := res.Outcome == call.Refused && !finalRefusals[res.Reason] && res.RetryAfter == 0
 			if mayRun && timeLeft > expected+cfg.MaxBackoff && before > 0 && tokens >= price {
@@ -65,8 +65,8 @@
 		if !ranNowhere && (res.Outcome != call.Unknown || !idempotent) {
 			t.Fatalf("retried %v, idempotent %v", res, idempotent)
 		}
-		if spent != 1 || b.tokens != tokens-price {
-			t.Fatalf("a retry spent %d of the allowance and %v of the budget", spent, tokens-b.tokens)
+		if spent != 1 || b.bucket.Tokens != tokens-price {
+			t.Fatalf("a retry spent %d of the allowance and %v of the budget", spent, tokens-b.bucket.Tokens)
 		}
 		if d.Delay+expected >= timeLeft {
 			t.Fatalf("delay %v and %v do not fit into %v", d.Delay, expected, timeLeft)
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -177,12 +177,12 @@
 
 // takeSpill pays for a call past saturated members.
 func (r *Router) takeSpill(q Query, now time.Time) bool {
-	return r.spill.spill.take(reserve(&r.cfg, q.Priority), now)
+	return r.spill.spill.Take(reserve(&r.cfg, q.Priority)*r.cfg.SpillBurst, now)
 }
 
 // takeRemote pays for a call to another region while the own has no member.
 func (r *Router) takeRemote(q Query, now time.Time) bool {
-	return r.spill.remote.take(reserve(&r.cfg, q.Priority), now)
+	return r.spill.remote.Take(reserve(&r.cfg, q.Priority)*r.cfg.RemoteBurst, now)
 }
 
 // chooseFar chooses in other regions because the own has no member to use.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -134,12 +134,11 @@
 	MechanismClaims      = "claims"
 	MechanismWholeAnswer = "whole_answer"
 	MechanismContext     = "context"
-	MechanismDrain       = "drain"
 )
 
 var mechanisms = []string{
 	MechanismAdmission, MechanismThrottle, MechanismRetryBound, MechanismWithdraw, MechanismLiveness,
-	MechanismClaims, MechanismWholeAnswer, MechanismContext, MechanismDrain,
+	MechanismClaims, MechanismWholeAnswer, MechanismContext,
 }
 
 // Load reads and checks the settings file at path. The error lists all faults.
