--- a/membership/watchers.go
+++ b/membership/watchers.go
@@ -24,7 +24,7 @@
 
 // DefaultWatchConfig fits changes that must be in force within 2.5 s.
 func DefaultWatchConfig() WatchConfig {
-	return WatchConfig{PerRegion: 1, Patience: 2200 * time.Millisecond, Step: 20 * time.Millisecond}
+	return WatchConfig{PerRegion: 1, Patience: 1600 * time.Millisecond, Step: 20 * time.Millisecond}
 }
 
 // Rank returns how many live members of the region come before the node id in an
--- a/plugin/caller/claim.go
+++ b/plugin/caller/claim.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/execution"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/plugin/target"
@@ -69,11 +70,7 @@
 			c.MintedUnixMs = minted.UnixMilli()
 		}
 		g.Go(func() error {
-			reply, err := r.c.k.Transport.Claim(ctx, addrs[id], c)
-			if err != nil {
-				reply = unanswered(err)
-			}
-			replies[i] = reply
+			replies[i] = askHolder(ctx, r.c.k.Transport, addrs[id], c)
 			return nil
 		})
 	}
@@ -81,6 +78,19 @@
 	return replies
 }
 
+// askHolder asks one holder. A connection that broke with the request on it says
+// nothing of the holder, so it is asked again over a new one; the claim is the same.
+func askHolder(ctx context.Context, transport kernel.Transport, addr string, c *wire.Claim) *wire.ClaimReply {
+	reply, err := transport.Claim(ctx, addr, c)
+	if errs.KindOf(err) == errs.Unknown && ctx.Err() == nil {
+		reply, err = transport.Claim(ctx, addr, c)
+	}
+	if err != nil {
+		return unanswered(err)
+	}
+	return reply
+}
+
 // unanswered is the reply of a holder that did not answer. A refused connection
 // shows that the VM is reached and the process has ended: it grants nothing to
 // anybody any more, so the proof of the other holder suffices.
