A drain that was acknowledged outlasts the node's process

Cause: the end of a backend server was known to the process alone. A node killed right after its acknowledgement took a check-in that the network had held back for a backend server that is ready, and sent it work again (platform/e2e TestDrainHoldsAcrossAKill, before: answered 200, ran once).

Ruled out: leaving it to the order of check-ins, as a new process knows none; keeping it with the neighbours, as they may be cut off.

Change: the node's own record names the start that last ended, the acknowledgement waits until the store holds it, 0.6 s at most, and the next process reads it from the record before it takes that start again. The record is written at each drain anyway, so a drain costs one call more at most.

After: the test passes, as do those of the packages touched.

--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -34,6 +34,10 @@
 	// Announce tells the fleet which service the backend server beside this
 	// node runs, with how many slots; "" withdraws the announcement.
 	Announce(service string, slots int)
+	// Ended tells the fleet that a start of the backend server beside this node
+	// takes no more calls. It returns once the store holds that, so that the next
+	// process of the node learns it, or with the error of ctx.
+	Ended(ctx context.Context, start membership.Start) error
 	// Leave tells the fleet that this node is shutting down.
 	Leave()
 }
@@ -138,9 +142,10 @@
 	Claim(c *wire.Claim) *wire.ClaimReply
 	Release(r *wire.Release)
 	// Report takes an ordered statement of the backend server; Departed takes that
-	// a start of it leaves.
-	Report(r lifecycle.Report)
-	Departed(instance string, born int64)
+	// a start of it leaves. Both return once an end that is told outlasts this
+	// process, or when it could not be recorded in time.
+	Report(ctx context.Context, r lifecycle.Report)
+	Departed(ctx context.Context, start membership.Start)
 	// Announce starts or renews serving the backend server; Withdrawn ends it.
 	Announce(b BackendInfo)
 	Withdrawn()
--- a/membership/member.go
+++ b/membership/member.go
@@ -31,6 +31,12 @@
 	return "unset"
 }
 
+// Start is one start of a backend server.
+type Start struct {
+	Instance string // "" for none
+	Born     int64  // milliseconds since 1970, 0 if not told
+}
+
 // Member is one node and the backend server beside it.
 type Member struct {
 	ID      string // unique per process start
@@ -39,6 +45,7 @@
 	Domain  string // failure domain
 	Service string // "" while no backend server takes work
 	Slots   int    // calls that the backend server executes at once, 0 if not told
+	Ended   Start  // of the backend server beside it, the last to take no more calls
 	State   State
 	// Revision of the record in the store. It rises with each statement of the
 	// member about itself.
@@ -58,6 +65,7 @@
 func (m *Member) Encode() []byte {
 	return wire.Encode(&wire.MemberRecord{
 		Id: m.ID, Addr: m.Addr, Region: m.Region, Domain: m.Domain, Service: m.Service, Slots: uint32(max(m.Slots, 0)),
+		EndedInstance: m.Ended.Instance, EndedBorn: m.Ended.Born,
 	})
 }
 
@@ -70,12 +78,12 @@
 	}
 	m := Member{
 		ID: r.GetId(), Addr: r.GetAddr(), Region: r.GetRegion(), Domain: r.GetDomain(), Service: r.GetService(),
-		Slots: int(r.GetSlots()), State: Alive, Revision: revision,
+		Slots: int(r.GetSlots()), Ended: Start{r.GetEndedInstance(), r.GetEndedBorn()}, State: Alive, Revision: revision,
 	}
 	if !strings.HasPrefix(key, Prefix) || m.ID == "" {
 		return Member{}, errs.New(errs.Invalid, "check who writes below "+Prefix, "record %q names no member", key)
 	}
-	for _, name := range []string{m.ID, m.Region, m.Domain, m.Service} {
+	for _, name := range []string{m.ID, m.Region, m.Domain, m.Service, m.Ended.Instance} {
 		if len(name) > maxNameBytes {
 			return Member{}, errs.New(errs.Invalid, "use shorter names", "record %q holds a name of %d bytes", key, len(name))
 		}
--- a/plugin/directory/directory.go
+++ b/plugin/directory/directory.go
@@ -33,6 +33,7 @@
 	book         *profile.Book
 	registration *membership.Registration
 	self         membership.Member
+	recorded     []chan struct{} // closed when the store holds the own record
 
 	view     atomic.Pointer[view]
 	snapshot atomic.Pointer[profile.Snapshot]
@@ -192,6 +193,9 @@
 		d.log.Warn("member_rejected", zap.String("key", e.Key), zap.Uint64("revision", e.Revision), zap.Error(err))
 		return
 	}
+	if e.Key == d.ownKey() {
+		d.inherit(&m)
+	}
 	if d.fleet.Put(e.Key, m) {
 		d.logMember("joined", &m)
 		return
--- a/plugin/directory/register.go
+++ b/plugin/directory/register.go
@@ -1,11 +1,13 @@
 package directory
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
+	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
 // bareDelay is how long a node without a backend server waits before it writes
@@ -22,6 +24,59 @@
 	})
 }
 
+// Ended implements kernel.Fleet.
+func (d *directory) Ended(ctx context.Context, start membership.Start) error {
+	if d.store == nil {
+		return nil
+	}
+	recorded := make(chan struct{})
+	d.k.Control.Go(func() {
+		d.self.Ended = start
+		d.registration.Want(d.self.Encode())
+		d.recorded = append(d.recorded, recorded)
+		d.settle()
+		d.wake()
+	})
+	select {
+	case <-recorded:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// settle tells those who wait for the own record that the store holds it; it runs
+// on the control goroutine.
+func (d *directory) settle() {
+	if !d.registration.Registered() {
+		return
+	}
+	for _, c := range d.recorded {
+		close(c)
+	}
+	d.recorded = nil
+}
+
+// inherit takes from the record of this node's former process which start of the
+// backend server has ended; it runs on the control goroutine.
+func (d *directory) inherit(m *membership.Member) {
+	if m.ID == d.self.ID || m.Ended.Instance == "" || d.self.Ended.Instance != "" {
+		return
+	}
+	d.self.Ended = m.Ended
+	go d.k.Target.Departed(d.ctx, m.Ended)
+}
+
+// inheritFrom reads the former process's record as the store holds it.
+func (d *directory) inheritFrom(e store.Entry) {
+	m, err := membership.Decode(e.Key, e.Value, e.Revision)
+	if err != nil {
+		d.log.Warn("member_rejected", zap.String("key", e.Key), zap.Uint64("revision", e.Revision), zap.Error(err))
+		return
+	}
+	d.inherit(&m)
+}
+
 // Leave implements kernel.Fleet.
 func (d *directory) Leave() { d.Announce("", 0) }
 
@@ -83,7 +138,12 @@
 	case membership.Read:
 		e, readErr := d.store.Get(d.ctx, d.ownKey())
 		err = readErr
-		done = func(now time.Time) { r.Looked(e.Revision, err, now) }
+		done = func(now time.Time) {
+			r.Looked(e.Revision, err, now)
+			if err == nil {
+				d.inheritFrom(e)
+			}
+		}
 	case membership.Renew:
 		err = d.store.Renew(d.ctx, lease)
 		done = func(now time.Time) { r.Renewed(err, sent, now) }
@@ -92,6 +152,7 @@
 		before := r.Registered()
 		failing := r.Failing()
 		done(time.Now())
+		d.settle()
 		d.logRegistration(before, failing, err)
 	})
 }
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/execution"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/lifecycle"
+	"github.com/dogwoodhatch/dogwoodhatch/membership"
 	"github.com/dogwoodhatch/dogwoodhatch/settings"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
@@ -158,8 +159,13 @@
 }
 
 // Report implements kernel.Target.
-func (t *target) Report(r lifecycle.Report) {
-	now := time.Now()
+func (t *target) Report(ctx context.Context, r lifecycle.Report) {
+	if change := t.report(r, time.Now()); r.Draining && change != lifecycle.Stale {
+		t.recordEnd(ctx, membership.Start{Instance: r.Instance, Born: r.Born})
+	}
+}
+
+func (t *target) report(r lifecycle.Report, now time.Time) lifecycle.Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	change := t.tracker.Take(r, now)
@@ -175,18 +181,39 @@
 	case lifecycle.Ended:
 		t.withdraw(now)
 	}
+	return change
 }
 
 // Departed implements kernel.Target.
-func (t *target) Departed(instance string, born int64) {
-	now := time.Now()
+func (t *target) Departed(ctx context.Context, start membership.Start) {
+	if change := t.depart(start, time.Now()); change != lifecycle.Stale {
+		t.recordEnd(ctx, start)
+	}
+}
+
+func (t *target) depart(start membership.Start, now time.Time) lifecycle.Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	change := t.tracker.Leave(instance, born, now)
-	t.log.Info("backend_departed", zap.Stringer("change", change), zap.String("instance", instance), zap.Int64("born", born))
+	change := t.tracker.Leave(start.Instance, start.Born, now)
+	t.log.Info("backend_departed", zap.Stringer("change", change), zap.String("instance", start.Instance), zap.Int64("born", start.Born))
 	if change == lifecycle.Ended {
 		t.withdraw(now)
 	}
+	return change
+}
+
+// recordEndTimeout leaves 0.4 s of the second within which a backend server has
+// to hear the answer to what it tells.
+const recordEndTimeout = 600 * time.Millisecond
+
+// recordEnd lets the end of a start outlast this process. A store that cannot be
+// reached delays nobody for long: the end holds in this process in any case.
+func (t *target) recordEnd(ctx context.Context, start membership.Start) {
+	ctx, cancel := context.WithTimeout(ctx, recordEndTimeout)
+	defer cancel()
+	if err := t.k.Fleet.Ended(ctx, start); err != nil {
+		t.log.Warn("end_not_recorded", zap.String("instance", start.Instance), zap.Int64("born", start.Born), zap.Error(err))
+	}
 }
 
 // Announce implements kernel.Target.
