--- /dev/null
+++ b/e2e/process/process.go
@@ -0,0 +1,122 @@
+// Package process runs programs of this repository as processes of a test.
+package process
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// module is the path of this repository's packages.
+const module = "github.com/dogwoodhatch/dogwoodhatch/"
+
+// binDir holds the programs built by Main.
+var binDir string
+
+// Main builds the programs, runs the tests and returns the exit status. It is
+// called by TestMain.
+func Main(m *testing.M, programs ...string) int {
+	dir, err := os.MkdirTemp("", "dogwoodhatch-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binDir = dir
+	args := []string{"build", "-o", dir + "/"}
+	for _, name := range programs {
+		args = append(args, module+"apps/"+name)
+	}
+	if out, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// Process is one process of a test. It ends with the test.
+type Process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	code int
+}
+
+// Start runs a program with its output appended to dir/name.log.
+func Start(t *testing.T, dir, name, program string, args ...string) *Process {
+	t.Helper()
+	out, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &Process{cmd: exec.Command(filepath.Join(binDir, program), args...), done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		p.cmd.Wait()
+		out.Close()
+		p.code = p.cmd.ProcessState.ExitCode()
+		close(p.done)
+	}()
+	t.Cleanup(p.Kill)
+	return p
+}
+
+// Signal sends a signal.
+func (p *Process) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
+
+// Kill ends the process and waits for its end.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Exited waits for the process to end by itself and returns its exit status.
+func (p *Process) Exited(t *testing.T, limit time.Duration) int {
+	t.Helper()
+	select {
+	case <-p.done:
+		return p.code
+	case <-time.After(limit):
+		t.Fatalf("process %s has not ended after %v", p.cmd.Path, limit)
+		return 0
+	}
+}
+
+// logTail is the end of each log that a failed test prints, in bytes.
+const logTail = 4000
+
+// DumpOnFailure prints the ends of the logs in dir if the test failed.
+func DumpOnFailure(t *testing.T, dir string) {
+	if !t.Failed() {
+		return
+	}
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		t.Log(err)
+	}
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Log(err)
+		}
+		t.Logf("%s:\n%s", filepath.Base(path), text[max(0, len(text)-logTail):])
+	}
+}
+
+// FreePort returns an address of this machine on which nothing listens.
+func FreePort(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
