A departure that tells no birth also ends the starts born before it

The node had been restarted as planned; it heard the departure first, without a time of birth, and then a check-in that the network had held back. The tracker compared the birth it did not know with the one told, took the check-in for a new start and sent work again.

Ruled out: the record of the ended start (it came later; the same process heard both); a departure that could not be read (no such log line).

Change: a departure of a start that the tracker does not know ends all starts of that id born up to it, or up to its arrival if it tells no birth. The record for the next process holds that bound. Another id, and a later birth under the same id, start as before.

--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -43,12 +43,17 @@
 	known   bool
 	ended   bool
 	heard   time.Time
+
+	// Starts of the current instance born up to this time, in milliseconds since
+	// 1970, have ended; 0 for none.
+	endedBorn int64
 }
 
 // Take orders a report.
 func (t *Tracker) Take(r Report, now time.Time) Change {
+	left := t.known && r.Instance == t.current.Instance && r.Born != 0 && r.Born <= t.endedBorn
 	switch {
-	case !t.known:
+	case !t.known, left:
 	case r.sameStart(&t.current):
 		if r.Sequence <= t.current.Sequence {
 			return Stale
@@ -56,8 +61,11 @@
 	case t.older(&r):
 		return Stale
 	}
-	fresh := !t.known || !r.sameStart(&t.current)
+	fresh := !t.known || !left && !r.sameStart(&t.current)
 	ended := t.ended && !fresh // a start that has drained never takes calls again
+	if fresh {
+		t.endedBorn = 0
+	}
 	t.known = true
 	t.current = r
 	t.heard = now
@@ -86,7 +94,12 @@
 		return Stale
 	}
 	if !t.known {
-		t.current = Report{Instance: instance, Born: born}
+		// The start that leaves was born before it said so.
+		t.current = Report{Instance: instance}
+		t.endedBorn = born
+		if born == 0 {
+			t.endedBorn = now.UnixMilli()
+		}
 		t.known = true
 	}
 	if t.ended {
@@ -106,5 +119,12 @@
 // Serving reports whether the backend server takes calls.
 func (t *Tracker) Serving() bool { return t.known && !t.ended }
 
+// LastEnded returns the instance that takes no more calls and the latest time of
+// birth, in milliseconds since 1970, for which that holds. It is meaningful after a
+// change to Ended.
+func (t *Tracker) LastEnded() (instance string, born int64) {
+	return t.current.Instance, max(t.endedBorn, t.current.Born)
+}
+
 // Current returns the latest report.
 func (t *Tracker) Current() Report { return t.current }
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -102,3 +102,25 @@
 		}
 	})
 }
+
+// TestDepartureBeforeAnyReport lets a backend server leave whose start the tracker
+// does not know, as after a restart of the node, with and without the time of birth.
+func TestDepartureBeforeAnyReport(t *testing.T) {
+	left := time.UnixMilli(5000)
+	for name, born := range map[string]int64{"born told": 1000, "not told": 0} {
+		var tr Tracker
+		if c := tr.Leave("i-1", born, left); c != Ended {
+			t.Errorf("%s: departure: %v", name, c)
+		}
+		if c := tr.Take(Report{Instance: "i-1", Born: 1000, Sequence: 14, Service: "s"}, left.Add(time.Second)); c == Started || tr.Serving() {
+			t.Errorf("%s: a late report of the start that left: %v", name, c)
+		}
+		other := tr
+		if c := other.Take(Report{Instance: "i-2", Born: 4000, Sequence: 1, Service: "s"}, left.Add(time.Second)); c != Started {
+			t.Errorf("%s: another backend server, born before the departure: %v", name, c)
+		}
+		if c := tr.Take(Report{Instance: "i-1", Born: 5500, Sequence: 1, Service: "s"}, left.Add(time.Second)); c != Started || !tr.Serving() {
+			t.Errorf("%s: the next start under the same id: %v", name, c)
+		}
+	}
+}
--- a/membership/member.go
+++ b/membership/member.go
@@ -31,7 +31,8 @@
 	return "unset"
 }
 
-// Start is one start of a backend server.
+// Start is one start of a backend server. As the last that ended, it stands for
+// all of the instance that were born up to that time.
 type Start struct {
 	Instance string // "" for none
 	Born     int64  // milliseconds since 1970, 0 if not told
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -161,7 +161,7 @@
 // Report implements kernel.Target.
 func (t *target) Report(ctx context.Context, r lifecycle.Report) {
 	if change := t.report(r, time.Now()); r.Draining && change != lifecycle.Stale {
-		t.recordEnd(ctx, membership.Start{Instance: r.Instance, Born: r.Born})
+		t.recordEnd(ctx)
 	}
 }
 
@@ -187,7 +187,7 @@
 // Departed implements kernel.Target.
 func (t *target) Departed(ctx context.Context, start membership.Start) {
 	if change := t.depart(start, time.Now()); change != lifecycle.Stale {
-		t.recordEnd(ctx, start)
+		t.recordEnd(ctx)
 	}
 }
 
@@ -206,9 +206,13 @@
 // to hear the answer to what it tells.
 const recordEndTimeout = 600 * time.Millisecond
 
-// recordEnd lets the end of a start outlast this process. A store that cannot be
+// recordEnd lets the last end of a start outlast this process. A store that cannot be
 // reached delays nobody for long: the end holds in this process in any case.
-func (t *target) recordEnd(ctx context.Context, start membership.Start) {
+func (t *target) recordEnd(ctx context.Context) {
+	t.mu.Lock()
+	var start membership.Start
+	start.Instance, start.Born = t.tracker.LastEnded()
+	t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, recordEndTimeout)
 	defer cancel()
 	if err := t.k.Fleet.Ended(ctx, start); err != nil {
