Tests take ports that outgoing connections cannot take

Trace: "cannot listen for nodes on 127.0.0.1:33847: address already in use". The port came from the range of outgoing connections and was taken between its choice and its use.

Ruled out: the code under test; the node ended with that message at once.

Change: ports from 12000 to 27999, in turn from a random one. No check or bound changed.

--- a/e2e/process/process.go
+++ b/e2e/process/process.go
@@ -3,10 +3,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -110,13 +112,30 @@
 	}
 }
 
+// Ports of tests lie below those that the system gives to outgoing connections
+// (from 32768 on Linux): one of these can be taken between its choice and its use.
+const (
+	firstPort = 12000
+	portCount = 16000
+)
+
+// lastPort counts through the ports, from a random one, as the tests of other
+// packages run at the same time.
+var lastPort atomic.Uint32
+
+func init() { lastPort.Store(rand.Uint32N(portCount)) }
+
 // FreePort returns an address of this machine on which nothing listens.
 func FreePort(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+lastPort.Add(1)%portCount))
+		if err != nil {
+			continue // in use
+		}
+		defer ln.Close()
+		return ln.Addr().String()
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Fatalf("no port from %d to %d is free", firstPort, firstPort+portCount-1)
+	return ""
 }
