The admission queue is looked through while calls go on arriving

Cause: each call that began to wait reset the 10 ms ticker of the queue. While calls queue more often than every 10 ms the ticker never fired: calls that could not finish in time stayed in the queue until they came to its head, and the limit of a cold backend server did not rise. In TestGracefulShutdownOfANode the limit stood at 4 for 430 ms while the queue grew to 50 and lookups were refused; the log showed no step of the ramp in that time.

Ruled out: the first traced cause, a wait predicted from the present bound only.

Open; nodes that trust the slots told learn no limit.

Change: the ticker is started when it stands, and left alone otherwise.

--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -102,15 +102,20 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	tick.Stop() // until calls wait
+	ticking := false
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
 	for {
 		select {
 		case <-t.waiting:
-			tick.Reset(tickInterval)
+			if !ticking { // a reset would put off the next tick
+				tick.Reset(tickInterval)
+				ticking = true
+			}
 		case now := <-tick.C:
 			if t.tick(now) == 0 {
 				tick.Stop()
+				ticking = false
 			}
 		case now := <-expire.C:
 			t.expire(now)
