A refused second attempt does not hide that the first may have run

Cause: when the first of two attempts side by side was lost and the second was refused by its node, the refusal became the ending of the request: 503 with 'not run' for a request that may have run. Only idempotent requests get a second attempt, so nothing ran twice, but the refusal was not true.

Change: of a pair, a refused second attempt never replaces the first.

Before: TestBetterOfTwoAttempts fails ('first may have run, second refused'). After: passes.

--- a/plugin/caller/attempt.go
+++ b/plugin/caller/attempt.go
@@ -78,9 +78,9 @@
 	}
 	r.Chain.Repeat = true
 	r.count(second)
-	if first.Outcome == call.Answered && second.Outcome != call.Answered {
+	if second.Outcome == call.Refused || first.Outcome == call.Answered && second.Outcome != call.Answered {
 		discard(second)
-		return first
+		return first // a refusal proves nothing of the first attempt
 	}
 	discard(first)
 	return second
