Lost answers are told to callers, and a busy member that begins to fail is found sooner

Cause: each first node judged members by its own results alone, with a memory of 5 s however many results that held. A node that sends 80 calls a second still rated a member that lost 40 % of its answers at 5 % after a second, and nodes with few calls met each lost answer anew.

Change: at most 40 recent results count (OutcomeVolume). The target counts calls of the last second that got no whole answer (connection refused, lost, answer cut off or refused without proof) and tells their part with its load; a first node takes the worse of what it saw and what it was told, which ages by half in 2 s (LostHalfLife).

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -79,6 +79,7 @@
 	Latency  time.Duration // from the start to the end, sub-calls included
 	Shed     bool          // the backend server refused it under load
 	Failed   bool          // it broke off; Latency is a lower bound
+	Lost     bool          // the backend server gave no whole answer
 	Canceled bool          // the caller went away; Latency is a lower bound
 }
 
@@ -225,6 +226,7 @@
 	t.state = stateDone
 	c.limiter.observe(c.inFlight, c.queue.size, c.limit(now))
 	c.inFlight--
+	c.rates.end(s, now)
 	c.limiter.sample(c.lat.end(t.Class), s, now)
 	return c.dispatch(now)
 }
@@ -310,6 +312,7 @@
 		AdmitPriority: p,
 		QueueDelay:    c.queueDelay(p, now),
 		ServiceTime:   c.lat.mean(),
+		Lost:          c.rates.lost(now),
 	}
 }
 
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -215,3 +215,34 @@
 		}
 	}
 }
+
+// TestLostAnswersAreTold loses a part of the answers, then none.
+func TestLostAnswersAreTold(t *testing.T) {
+	now := modelEpoch
+	cfg := DefaultConfig()
+	cfg.FixLimit(40)
+	c := New(cfg, rand.New(rand.NewPCG(1, 1)), now)
+	calls := func(n, lostOfFive int) float64 {
+		for i := range n {
+			now = now.Add(20 * time.Millisecond)
+			ticket := &Ticket{Class: "a", Deadline: now.Add(time.Second)}
+			if v, _ := c.Offer(ticket, now); v.Kind != Run {
+				t.Fatalf("verdict %v", v.Kind)
+			}
+			c.Done(ticket, Sample{Latency: time.Millisecond, Lost: i%5 < lostOfFive, Failed: i%5 < lostOfFive}, now)
+			canceled := &Ticket{Class: "a", Deadline: now.Add(time.Second)}
+			c.Offer(canceled, now)
+			c.Done(canceled, Sample{Canceled: true}, now)
+		}
+		return c.Pressure(now).Lost
+	}
+	if got := calls(200, 0); got != 0 {
+		t.Errorf("%v told with no loss", got)
+	}
+	if got := calls(100, 2); got < 0.3 || got > 0.45 {
+		t.Errorf("%v told with 2 of 5 lost", got)
+	}
+	if got := calls(200, 0); got > 0.02 {
+		t.Errorf("%v told 4 s after the last loss", got)
+	}
+}
--- a/admission/rates.go
+++ b/admission/rates.go
@@ -10,6 +10,7 @@
 const (
 	rateMemory     = time.Second // time constant of the decaying counters
 	minRateEvents  = 2.0         // offers below which a priority counts as admitted
+	lostPrior      = 4.0         // weight, in calls, of the assumption that no answer is lost
 	closedFraction = 0.9         // refused fraction at which a priority counts as not admitted
 )
 
@@ -42,6 +43,8 @@
 	offered [call.NumPriorities]counter
 	refused [call.NumPriorities]counter
 	started [call.NumPriorities]counter
+	ended   counter // calls that were not canceled
+	losses  counter // of these, calls without a whole answer
 }
 
 func prioIndex(p call.Priority) int { return int(min(p, call.NumPriorities-1)) }
@@ -55,6 +58,23 @@
 	return sum
 }
 
+// end counts the end of a call.
+func (r *rates) end(s Sample, now time.Time) {
+	if s.Canceled {
+		return
+	}
+	r.ended.add(now)
+	if s.Lost {
+		r.losses.add(now)
+	}
+}
+
+// lost returns the part of the recent calls without a whole answer, from 0 to
+// below 1.
+func (r *rates) lost(now time.Time) float64 {
+	return r.losses.read(now) / (r.ended.read(now) + lostPrior)
+}
+
 // overload returns the ratio of offers to starts, at least 1.
 func (r *rates) overload(now time.Time) float64 {
 	var offered, started float64
--- a/call/call.go
+++ b/call/call.go
@@ -137,6 +137,7 @@
 	AdmitPriority Priority      // least important priority still admitted
 	QueueDelay    time.Duration // expected wait of the least important admitted class
 	ServiceTime   time.Duration // typical execution time
+	Lost          float64       // part of the recent calls whose answer was lost
 }
 
 // Result is how one attempt ended, as the source node knows it.
--- a/plugin/peer/header.go
+++ b/plugin/peer/header.go
@@ -31,6 +31,8 @@
 	return h
 }
 
+const permille = 1000
+
 func encodePressure(p call.Pressure) *wire.Pressure {
 	return &wire.Pressure{
 		Limit:         uint32(p.Limit),
@@ -39,6 +41,7 @@
 		AdmitPriority: uint32(p.AdmitPriority),
 		QueueDelayUs:  uint32(p.QueueDelay.Microseconds()),
 		ServiceTimeUs: uint32(p.ServiceTime.Microseconds()),
+		LostPermille:  uint32(permille * p.Lost),
 	}
 }
 
@@ -50,6 +53,7 @@
 		AdmitPriority: call.Priority(p.GetAdmitPriority()),
 		QueueDelay:    time.Duration(p.GetQueueDelayUs()) * time.Microsecond,
 		ServiceTime:   time.Duration(p.GetServiceTimeUs()) * time.Microsecond,
+		Lost:          float64(p.GetLostPermille()) / permille,
 	}
 }
 
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -271,7 +271,7 @@
 		return refused(call.ReasonShed, 0), admission.Sample{Shed: true}
 	}
 	if resp.Unproved {
-		return call.Result{Outcome: call.Unknown, Reason: call.ReasonUnproved}, admission.Sample{Failed: true}
+		return call.Result{Outcome: call.Unknown, Reason: call.ReasonUnproved}, admission.Sample{Failed: true, Lost: true}
 	}
 	res := call.Result{Outcome: call.Answered, Status: resp.Status}
 	if err := w.WriteHead(resp.Status, resp.Header, a.pressure()); err != nil {
@@ -279,7 +279,7 @@
 	}
 	// net/http reports a body that is shorter than its declared length.
 	if _, err := bufpool.Copy(w, resp.Body); err != nil {
-		return call.Result{Outcome: call.Unknown, Reason: call.ReasonTruncated}, admission.Sample{Failed: ctx.Err() == nil, Canceled: ctx.Err() != nil}
+		return call.Result{Outcome: call.Unknown, Reason: call.ReasonTruncated}, admission.Sample{Failed: ctx.Err() == nil, Lost: ctx.Err() == nil, Canceled: ctx.Err() != nil}
 	}
 	return res, admission.Sample{Failed: resp.Status >= 500}
 }
@@ -298,11 +298,11 @@
 	a.t.log.Warn("backend_failed", zap.String("addr", a.backend.Address), zap.Bool("sent", sent), zap.Error(err))
 	switch {
 	case !sent:
-		return refused(call.ReasonConnect, 0), admission.Sample{Failed: true}
+		return refused(call.ReasonConnect, 0), admission.Sample{Failed: true, Lost: true}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return call.Result{Outcome: call.Unknown, Reason: call.ReasonDeadline}, admission.Sample{Failed: true}
 	case ctx.Err() != nil:
 		return call.Result{Outcome: call.Unknown, Reason: call.ReasonCanceled}, admission.Sample{Canceled: true}
 	}
-	return call.Result{Outcome: call.Unknown, Reason: call.ReasonConnLost}, admission.Sample{Failed: true}
+	return call.Result{Outcome: call.Unknown, Reason: call.ReasonConnLost}, admission.Sample{Failed: true, Lost: true}
 }
--- a/routing/config.go
+++ b/routing/config.go
@@ -39,6 +39,14 @@
 	// higher value remembers a failing member longer.
 	OutcomeHalfLife time.Duration
 
+	// OutcomeVolume is the largest number of recent results that count. A lower value
+	// finds a busy member that begins to fail sooner and is misled more by chance.
+	OutcomeVolume float64
+
+	// LostHalfLife is the age at which the part of lost answers that a member told
+	// counts half. A higher value tries a member that lost answers later again.
+	LostHalfLife time.Duration
+
 	// FailureCost is what a failed call costs, in terms of response time. A higher
 	// value avoids members with few failures at the price of load balance.
 	FailureCost time.Duration
@@ -153,6 +161,8 @@
 		PressureHalfLife:    500 * time.Millisecond,
 		PressureMaxAge:      time.Second,
 		OutcomeHalfLife:     5 * time.Second,
+		OutcomeVolume:       40,
+		LostHalfLife:        2 * time.Second,
 		FailureCost:         time.Second,
 		RampTime:            10 * time.Second,
 		RampFloor:           0.1,
--- a/routing/pick_test.go
+++ b/routing/pick_test.go
@@ -209,3 +209,86 @@
 		t.Fatalf("went to %s by %s", choice.Member.Node, choice.Rule)
 	}
 }
+
+// TestBusyMemberThatStartsToFailIsLeft lets the member of the own failure domain lose
+// two of five answers after it has served many calls well. Half a second later most
+// calls must go to the member that answers.
+func TestBusyMemberThatStartsToFailIsLeft(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Region, cfg.Domain = "r1", "d1"
+	r := New(cfg, rand.New(rand.NewPCG(1, 2)))
+	now := time.Unix(100, 0)
+	r.Update([]Member{{Node: "own", Region: "r1", Domain: "d1"}, {Node: "next", Region: "r1", Domain: "d2"}, {Node: "third", Region: "r1", Domain: "d2"}}, now)
+	whole := call.Result{Outcome: call.Answered, Status: 200, Latency: 55 * time.Millisecond,
+		Pressure: call.Pressure{Limit: 40, InFlight: 4, ServiceTime: 55 * time.Millisecond, AdmitPriority: call.PriorityLow}}
+	lost := call.Result{Outcome: call.Unknown, Reason: call.ReasonConnLost, Latency: 55 * time.Millisecond}
+	finish := func(node string, res call.Result) {
+		r.Start(node, now)
+		r.Finish(node, res, now)
+		r.Record(call.PriorityNormal, res, now)
+	}
+	const perSecond = 80
+	for i := range 10 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		finish("own", whole)
+		if i%perSecond == 0 {
+			finish("next", whole)
+			finish("third", whole)
+		}
+	}
+	own, late := 0, 0
+	for i := range 2 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		choice, refusal := r.Pick(Query{Priority: call.PriorityNormal}, now)
+		if refusal.Reason != call.ReasonNone {
+			t.Fatalf("refused: %v", refusal.Reason)
+		}
+		node, res := choice.Member.Node, whole
+		if node == "own" && i%5 < 2 {
+			res = lost
+		}
+		finish(node, res)
+		if i >= perSecond/2 {
+			late++
+			if node == "own" {
+				own++
+			}
+		}
+	}
+	if own*4 > late {
+		t.Errorf("%d of %d calls still went to the member that loses answers", own, late)
+	}
+}
+
+// TestToldLossesKeepCallsAway lets a member tell that it loses answers, of which this
+// caller has met none; calls come back once that is old.
+func TestToldLossesKeepCallsAway(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Region, cfg.Domain = "r1", "d1"
+	r := New(cfg, rand.New(rand.NewPCG(1, 2)))
+	now := time.Unix(100, 0)
+	r.Update([]Member{{Node: "own", Region: "r1", Domain: "d1"}, {Node: "next", Region: "r1", Domain: "d2"}, {Node: "third", Region: "r1", Domain: "d2"}}, now)
+	whole := call.Result{Outcome: call.Answered, Status: 200, Latency: 55 * time.Millisecond,
+		Pressure: call.Pressure{Limit: 40, InFlight: 4, ServiceTime: 55 * time.Millisecond, AdmitPriority: call.PriorityLow}}
+	for node, lost := range map[string]float64{"own": 0.3, "next": 0, "third": 0} {
+		res := whole
+		res.Pressure.Lost = lost
+		r.Start(node, now)
+		r.Finish(node, res, now)
+	}
+	picked := func() string {
+		choice, refusal := r.Pick(Query{Priority: call.PriorityNormal}, now)
+		if refusal.Reason != call.ReasonNone {
+			t.Fatalf("refused: %v", refusal.Reason)
+		}
+		return choice.Member.Node
+	}
+	for range 20 {
+		if node := picked(); node == "own" {
+			t.Fatal("a call went to the member that loses answers")
+		}
+	}
+	if now = now.Add(5 * cfg.LostHalfLife); picked() != "own" {
+		t.Fatal("calls do not come back")
+	}
+}
--- a/routing/result.go
+++ b/routing/result.go
@@ -48,9 +48,13 @@
 	at        time.Time
 }
 
-// add counts results after forgetting a part of the earlier ones.
+// add counts results after forgetting a part of the earlier ones: by their age, and
+// by the number that counts at most.
 func (o *outcomes) add(cfg *Config, good, bad float64, now time.Time) {
 	k := decay(now.Sub(o.at), cfg.OutcomeHalfLife)
+	if volume := (o.good + o.bad) * k; volume > cfg.OutcomeVolume {
+		k *= cfg.OutcomeVolume / volume
+	}
 	o.good = o.good*k + good
 	o.bad = o.bad*k + bad
 	o.at = now
--- a/routing/score.go
+++ b/routing/score.go
@@ -111,7 +111,7 @@
 
 // badRate returns the part of recent calls that failed or were refused.
 func (s *state) badRate(cfg *Config, now time.Time) float64 {
-	failed := s.outcomes.rate(cfg, now)
+	failed := max(s.outcomes.rate(cfg, now), s.pressure.Lost*decay(now.Sub(s.pressureAt), cfg.LostHalfLife))
 	refused := s.refusals.rate(cfg, now)
 	return failed + (1-failed)*refused
 }
