A node whose log nobody reads stops in time

Cause: at its end a node waited for its last lines to be written.

Change: the node waits 0.5 s for the last lines, then ends without them.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -70,6 +70,7 @@
 	local   string
 	peer    string
 	admin   string
+	out     *os.File // see nodeOptions
 	backend *backend
 }
 
@@ -78,13 +79,14 @@
 	region    string
 	advertise func(peer string) string // address told to other nodes
 	extra     string                   // further settings
+	out       *os.File                 // standard output; nil for a file in the directory of the test
 }
 
 func (f *fleet) startNode(name string, o nodeOptions) *node {
 	if o.region == "" {
 		o.region = "tx-central"
 	}
-	n := &node{f: f, name: name, outside: process.FreePort(f.t), local: process.FreePort(f.t), peer: process.FreePort(f.t), admin: process.FreePort(f.t)}
+	n := &node{f: f, name: name, out: o.out, outside: process.FreePort(f.t), local: process.FreePort(f.t), peer: process.FreePort(f.t), admin: process.FreePort(f.t)}
 	n.config = filepath.Join(f.dir, name+".ini")
 	text := fmt.Sprintf("[node]\nid = %s\nregion = %s\nfailure_domain = %s-a\n[listen]\noutside = %s\nlocal = %s\npeer = %s\nadmin = %s\n",
 		name, o.region, o.region, n.outside, n.local, n.peer, n.admin)
@@ -105,7 +107,11 @@
 
 // run starts the process of the node, also after it has ended.
 func (n *node) run() {
-	n.Process = n.f.start(n.name, "dogwoodhatch-node", "--config", n.config)
+	if n.out != nil {
+		n.Process = process.StartTo(n.f.t, n.out, "dogwoodhatch-node", "--config", n.config)
+	} else {
+		n.Process = n.f.start(n.name, "dogwoodhatch-node", "--config", n.config)
+	}
 	waitFor(n.f.t, n.name, func() bool { return reachable(n.outside) })
 }
 
--- a/e2e/process/process.go
+++ b/e2e/process/process.go
@@ -55,6 +55,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return StartTo(t, out, program, args...)
+}
+
+// StartTo runs a program with its output going to out, which it closes at the end.
+func StartTo(t *testing.T, out *os.File, program string, args ...string) *Process {
+	t.Helper()
 	p := &Process{cmd: exec.Command(filepath.Join(binDir, program), args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	zaplogfmt "github.com/jsternberg/zap-logfmt"
 	"go.uber.org/zap"
@@ -23,7 +24,7 @@
 
 // NewWriter starts a writer to out that holds at most buffer lines.
 func NewWriter(out io.Writer, buffer int) *Writer {
-	w := &Writer{lines: make(chan []byte, buffer), flushed: make(chan struct{}), done: make(chan struct{})}
+	w := &Writer{lines: make(chan []byte, buffer), flushed: make(chan struct{}, 1), done: make(chan struct{})}
 	go w.run(out)
 	return w
 }
@@ -90,10 +91,21 @@
 // Dropped returns the number of lines lost so far.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
-// Flush returns once all lines written before it have reached the output.
-func (w *Writer) Flush() {
-	w.lines <- nil
-	<-w.flushed
+// Flush waits until all lines written before it have reached the output, and
+// reports false if the output has not taken them within limit.
+func (w *Writer) Flush(limit time.Duration) bool {
+	expired := time.After(limit)
+	select {
+	case w.lines <- nil:
+	case <-expired:
+		return false
+	}
+	select {
+	case <-w.flushed:
+		return true
+	case <-expired:
+		return false
+	}
 }
 
 // Close writes what is buffered and stops the writer. No line may be written afterwards.
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -43,3 +44,21 @@
 		t.Fatalf("dropped %d lines, want 7 or 8", d)
 	}
 }
+
+func TestFlushGivesUpOnABlockedOutput(t *testing.T) {
+	b := blockedWriter{release: make(chan struct{})}
+	w := NewWriter(b, 2)
+	for range 10 {
+		if _, err := w.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if w.Flush(50 * time.Millisecond) {
+		t.Fatal("flushed to an output that takes nothing")
+	}
+	close(b.release)
+	if !w.Flush(10 * time.Second) {
+		t.Fatal("not flushed to an output that takes all")
+	}
+	w.Close()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -91,10 +91,14 @@
 	return nil
 }
 
-// closeLog flushes the log. The writer stays usable, because goroutines of
-// calls that were cut at the end may still log.
+// flushTimeout is how long the process waits at its end for the reader of its log:
+// a reader that lives takes the buffered lines in far less.
+const flushTimeout = 500 * time.Millisecond
+
+// closeLog flushes the log; lines that nobody reads are lost. The writer stays
+// usable, because goroutines of calls that were cut at the end may still log.
 func (n *Node) closeLog() {
-	n.writer.Flush()
+	n.writer.Flush(flushTimeout)
 	if n.file != nil {
 		n.file.Close()
 	}
