Silence between nodes is measured without the wall clock

Cause, found by reading for steps of the time of day: the moment of the last byte of a connection between nodes was kept as Unix time. After a step back of 2 s a connection that went silent counted as heard for 2 s longer, and a ping without an answer was taken for answered; after a step forward all connections were probed at once.

Change: the moment is kept relative to the start of the process, on the monotonic clock. Other uses of Unix time: the throttle's slots (a step makes it forget or repeat at most one window of 1 s), claims of idempotency keys (bounded by their skew) and, open, a departure without time of birth at a node that knows no report: it ends all starts of that id born before the node's time of day.

Before: with the moment read back as Unix time, TestSilenceIsMeasuredWithoutTheWallClock fails. After: passes.

--- a/plugin/peer/conn.go
+++ b/plugin/peer/conn.go
@@ -7,6 +7,17 @@
 	"time"
 )
 
+// epoch is the origin of instants. Its monotonic reading keeps them from steps of
+// the wall clock.
+var epoch = time.Now()
+
+// instant is a moment that several goroutines read and set.
+type instant struct{ sinceEpoch atomic.Int64 }
+
+func (i *instant) set(t time.Time) { i.sinceEpoch.Store(int64(t.Sub(epoch))) }
+
+func (i *instant) get() time.Time { return epoch.Add(time.Duration(i.sinceEpoch.Load())) }
+
 // Layout of a yamux frame header: version, type, flags, stream id, length.
 const (
 	frameHeaderBytes  = 12
@@ -21,7 +32,7 @@
 // other, which costs a system call and often a packet more.
 type conn struct {
 	net.Conn
-	last *atomic.Int64 // Unix time in nanoseconds of the last byte read; nil notes nothing
+	last *instant // of the last byte read; nil notes nothing
 
 	pending []byte // a header that waits for its body
 }
@@ -30,7 +41,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && c.last != nil {
-		c.last.Store(time.Now().UnixNano())
+		c.last.set(time.Now())
 	}
 	return n, err
 }
--- a/plugin/peer/conn_test.go
+++ b/plugin/peer/conn_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
@@ -89,3 +90,26 @@
 		n += m
 	}
 }
+
+// TestSilenceIsMeasuredWithoutTheWallClock holds the moment of the last byte against
+// a time without monotonic reading, which a step of the wall clock would move.
+func TestSilenceIsMeasuredWithoutTheWallClock(t *testing.T) {
+	s := &session{}
+	near, far := net.Pipe()
+	defer near.Close()
+	go func() {
+		far.Write([]byte("x"))
+		far.Close()
+	}()
+	began := time.Now()
+	if _, err := (&conn{Conn: near, last: &s.lastRead}).Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	heard := s.lastRead.get()
+	if heard == heard.Round(0) {
+		t.Error("the moment of the last byte has no monotonic reading")
+	}
+	if heard.Before(began) || heard.After(time.Now()) {
+		t.Errorf("heard at %v, began at %v", heard, began)
+	}
+}
--- a/plugin/peer/pool.go
+++ b/plugin/peer/pool.go
@@ -114,7 +114,7 @@
 		return nil, errs.Wrap(err, errs.Unavailable, "retry at another node", "node %s does not accept connections", addr)
 	}
 	s := &session{addr: addr, lastUse: time.Now()}
-	s.lastRead.Store(time.Now().UnixNano())
+	s.lastRead.set(s.lastUse)
 	s.mux, err = yamux.Client(&conn{Conn: nc, last: &s.lastRead}, p.ycfg)
 	if err != nil {
 		nc.Close()
@@ -171,11 +171,11 @@
 	defer s.probing.Store(false)
 	start := time.Now()
 	_, err := s.mux.Ping()
-	if err == nil || s.lastRead.Load() > start.UnixNano() {
+	if err == nil || s.lastRead.get().After(start) {
 		return
 	}
 	p.log.Warn("peer_session_lost", zap.String("addr", s.addr), zap.Int("in_flight", s.inFlight()),
-		zap.Duration("silent", time.Since(time.Unix(0, s.lastRead.Load()))), zap.Error(err))
+		zap.Duration("silent", time.Since(s.lastRead.get())), zap.Error(err))
 	p.drop(s)
 }
 
--- a/plugin/peer/session.go
+++ b/plugin/peer/session.go
@@ -13,7 +13,7 @@
 type session struct {
 	addr     string
 	mux      *yamux.Session
-	lastRead atomic.Int64 // Unix time in nanoseconds of the last byte read
+	lastRead instant // when the last byte was read
 	probing  atomic.Bool
 
 	mu      sync.Mutex
@@ -123,7 +123,7 @@
 		}
 		return stateLive
 	}
-	heard := time.Unix(0, s.lastRead.Load())
+	heard := s.lastRead.get()
 	if s.since.After(heard) {
 		heard = s.since
 	}
