The log tells the part of bad calls that a member was judged by

Since targets tell lost answers, the score of a choice alone no longer shows why the member of the own failure domain was left.

--- a/routing/pick.go
+++ b/routing/pick.go
@@ -33,6 +33,7 @@
 	RunnerUpScore float64
 	Candidates    int           // members that the pair was drawn from
 	Load          float64       // estimated part of the member's limit in use
+	BadRate       float64       // part of its recent calls that failed, were refused or told lost
 	PressureAge   time.Duration // of what the member told, 0 if it told nothing
 }
 
@@ -282,6 +283,7 @@
 	c := Choice{Member: s.Member, Rule: rule, Score: s.score(&r.cfg, now), Expected: s.expected(&r.cfg, now), Candidates: candidates}
 	s.probed = true
 	c.Load = s.utilization(&r.cfg, now)
+	c.BadRate = s.badRate(&r.cfg, now)
 	if s.pressure.Limit > 0 {
 		c.PressureAge = now.Sub(s.pressureAt)
 	}
--- a/routing/score.go
+++ b/routing/score.go
@@ -109,7 +109,8 @@
 	return time.Duration(float64(s.pressure.QueueDelay) * k)
 }
 
-// badRate returns the part of recent calls that failed or were refused.
+// badRate returns the part of recent calls that failed, as seen here or as told by
+// the member, or were refused.
 func (s *state) badRate(cfg *Config, now time.Time) float64 {
 	failed := max(s.outcomes.rate(cfg, now), s.pressure.Lost*decay(now.Sub(s.pressureAt), cfg.LostHalfLife))
 	refused := s.refusals.rate(cfg, now)
