A probe that fails as all members do ends an ejection

Cause: when a service behind all members sheds, each node ejected the members of its own region, whose answers were failures, because those of other regions had failed nothing yet; calls went there and failed the same way, and each failed probe doubled the time of ejection.

Ruled out: sending to other regions for want of room ('spill', 1,006 choices).

Change: an answered failure of a probe ends the ejection if the member fails no more often than those in use. Failures without any answer eject as before.

Before: in TestCauseBehindAllMembersKeepsCallsInTheRegion 195 of 2,112 calls went to the other region, and once only the own region failed 491 of 966. After: 0, and 961 of 974.

--- a/routing/eject.go
+++ b/routing/eject.go
@@ -6,11 +6,15 @@
 )
 
 // fail records a failure. It ejects the member if that fails too often, so far
-// as ejectable says that the failures are its own.
+// as ejectable says that the failures are its own. A probe that fails as the
+// members in use do ends the ejection: the cause lies behind all of them.
 func (s *state) fail(cfg *Config, ejectable bool, rng *rand.Rand, now time.Time) {
 	s.outcomes.add(cfg, 0, 1, now)
 	s.consecutive++
-	if s.ejected || (ejectable && s.failing(cfg, now)) {
+	switch {
+	case s.ejected && !ejectable:
+		s.readmit(now)
+	case s.ejected || ejectable && s.failing(cfg, now):
 		s.eject(cfg, rng, now)
 	}
 }
--- a/routing/sim_test.go
+++ b/routing/sim_test.go
@@ -234,3 +234,48 @@
 		t.Errorf("calls %v, want nearly all at the one that answers", each)
 	}
 }
+
+// TestCauseBehindAllMembersKeepsCallsInTheRegion lets all members of all regions fail
+// half of their calls. Calls to other regions help nobody then.
+func TestCauseBehindAllMembersKeepsCallsInTheRegion(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.RemotePerSecond, cfg.RemoteBurst = 2000, 2000 // no bound, as on links that are billed by volume
+	w := newWorld(2, cfg)
+	w.add(2, "a")
+	for _, s := range append(w.servers, w.add(4, "b")...) {
+		s.behaviour = failsHalf
+	}
+	w.run(10*time.Second, normal(100))
+	w.calls()
+	w.run(10*time.Second, normal(100))
+	total, each := w.calls()
+	far := 0
+	for _, s := range w.servers {
+		if s.Region != "a" {
+			far += each[s.Node]
+		}
+	}
+	t.Logf("%d of %d calls went to the other region", far, total)
+	if far*5 > total {
+		t.Errorf("more than a fifth")
+	}
+	for _, s := range w.servers {
+		if s.Region != "a" {
+			s.behaviour = serves
+		}
+	}
+	w.run(10*time.Second, normal(100))
+	w.calls()
+	w.run(5*time.Second, normal(100))
+	total, each = w.calls()
+	far = 0
+	for _, s := range w.servers {
+		if s.Region != "a" {
+			far += each[s.Node]
+		}
+	}
+	t.Logf("%d of %d went there once only the own region failed", far, total)
+	if far*5 < total*4 {
+		t.Errorf("less than four fifths")
+	}
+}
--- a/routing/world_test.go
+++ b/routing/world_test.go
@@ -25,6 +25,7 @@
 const (
 	serves behaviour = iota
 	failsAtOnce
+	failsHalf // of the calls, after their time
 	silent
 )
 
@@ -165,7 +166,11 @@
 		busy := time.Duration(float64(s.service) * max(1, float64(s.inFlight)/float64(s.limit)))
 		w.after(way+busy, func() {
 			s.inFlight--
-			end(call.Result{Outcome: call.Answered, Status: 200, Pressure: s.pressure()})
+			status := 200
+			if s.behaviour == failsHalf && w.rng.IntN(2) == 0 {
+				status = 500
+			}
+			end(call.Result{Outcome: call.Answered, Status: status, Pressure: s.pressure()})
 		})
 	}
 }
