Lend writers and frame buffers instead of allocating them for each call

Change: bufpool lends writers and buffers; an answer takes its writer with its first frame; frames are encoded into the writer's own room; a request to a backend server uses the header that was decoded for it; an idle connection keeps what its look needs.

--- a/bufpool/bufpool_test.go
+++ b/bufpool/bufpool_test.go
@@ -28,3 +28,41 @@
 		t.Fatalf("%d, %v", n, err)
 	}
 }
+
+func TestReleasedWriterForgets(t *testing.T) {
+	var first, second bytes.Buffer
+	w := Writer(&first)
+	w.WriteString("dropped")
+	Release(w)
+	w = Writer(&second)
+	w.WriteString("kept")
+	if err := w.Flush(); err != nil || first.Len() > 0 || second.String() != "kept" {
+		t.Fatalf("%q and %q, %v", first.String(), second.String(), err)
+	}
+	w = Writer(brokenWriter{})
+	w.WriteString("lost")
+	if w.Flush() == nil {
+		t.Fatal("a broken destination was not reported")
+	}
+	Release(w)
+	second.Reset()
+	w = Writer(&second)
+	w.WriteString("kept")
+	if err := w.Flush(); err != nil || second.String() != "kept" {
+		t.Fatalf("%q after a broken destination, %v", second.String(), err)
+	}
+}
+
+func TestCopyReportsAShortWrite(t *testing.T) {
+	if _, err := Copy(shortWriter{}, bytes.NewReader([]byte("abc"))); !errors.Is(err, io.ErrShortWrite) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+type brokenWriter struct{}
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, errors.New("broken") }
+
+type shortWriter struct{}
+
+func (shortWriter) Write(p []byte) (int, error) { return len(p) - 1, nil }
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -28,7 +28,6 @@
 	nc     net.Conn
 	limit  *io.LimitedReader
 	br     *bufio.Reader
-	bw     *bufio.Writer
 	ctx    context.Context
 	cancel context.CancelFunc
 	slots  chan struct{} // bounds the requests served at once
@@ -44,7 +43,6 @@
 	c := &serverConn{s: s, nc: nc, slots: make(chan struct{}, s.opts.MaxPipelined), last: make(chan struct{})}
 	c.limit = &io.LimitedReader{R: nc}
 	c.br = bufio.NewReaderSize(c.limit, connBufferBytes)
-	c.bw = bufio.NewWriterSize(nc, connBufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	close(c.last)
 	return c
--- a/edge/response.go
+++ b/edge/response.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
@@ -8,11 +9,14 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/bufpool"
 )
 
 // response writes one answer once those before it are written.
 type response struct {
 	c       *serverConn
+	bw      *bufio.Writer // between the head and the end of the answer
 	req     *http.Request
 	header  http.Header
 	turn    <-chan struct{} // closed when the answer before is written
@@ -37,6 +41,7 @@
 	w.started = true
 	w.status = status
 	<-w.turn
+	w.bw = bufpool.Writer(w.c.nc)
 	old := w.req.ProtoMajor == 1 && w.req.ProtoMinor == 0
 	asked := w.req.Close || hasToken(w.header, "Connection", "close")
 	w.last = w.last || w.c.claimLast(asked || old || w.c.s.closing())
@@ -48,9 +53,9 @@
 	if w.header.Get("Date") == "" {
 		w.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
 	}
-	fmt.Fprintf(w.c.bw, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
-	w.failed = w.header.Write(w.c.bw)
-	io.WriteString(w.c.bw, "\r\n")
+	fmt.Fprintf(w.bw, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	w.failed = w.header.Write(w.bw)
+	io.WriteString(w.bw, "\r\n")
 }
 
 // frame decides how the end of the body is told.
@@ -68,7 +73,7 @@
 	default:
 		w.header.Del("Content-Length")
 		w.header.Set("Transfer-Encoding", "chunked")
-		w.chunked = httputil.NewChunkedWriter(w.c.bw)
+		w.chunked = httputil.NewChunkedWriter(w.bw)
 	}
 }
 
@@ -90,7 +95,7 @@
 	case w.counted && int64(len(p)) > w.left:
 		return 0, http.ErrContentLength
 	default:
-		n, w.failed = w.c.bw.Write(p)
+		n, w.failed = w.bw.Write(p)
 		w.left -= int64(n)
 	}
 	return n, w.failed
@@ -98,8 +103,8 @@
 
 // Flush implements http.Flusher.
 func (w *response) Flush() {
-	if w.started && w.failed == nil {
-		w.failed = w.c.bw.Flush()
+	if w.bw != nil && w.failed == nil {
+		w.failed = w.bw.Flush()
 	}
 }
 
@@ -111,15 +116,17 @@
 	}
 	if w.failed == nil && w.chunked != nil {
 		if w.failed = w.chunked.Close(); w.failed == nil {
-			_, w.failed = io.WriteString(w.c.bw, "\r\n")
+			_, w.failed = io.WriteString(w.bw, "\r\n")
 		}
 	}
 	if w.failed == nil && w.counted && w.left > 0 {
 		return io.ErrShortWrite
 	}
 	if w.failed == nil {
-		w.failed = w.c.bw.Flush()
+		w.failed = w.bw.Flush()
 	}
+	bufpool.Release(w.bw)
+	w.bw = nil
 	return w.failed
 }
 
--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -198,7 +198,7 @@
 	Method     string
 	Target     string
 	Host       string
-	Header     http.Header
+	Header     http.Header // not nil; the backend adds its own lines
 	Body       []byte
 	TimeoutMS  int64
 	Token      string // names the execution for sub-calls
--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -90,10 +90,7 @@
 // head returns the request line and the headers.
 func (x *exchange) head() []byte {
 	req := x.req
-	h := req.Header.Clone()
-	if h == nil {
-		h = http.Header{}
-	}
+	h := req.Header
 	x.b.dialect.Encode(h, req)
 	h.Del("Host")
 	h.Del("Content-Length")
--- a/plugin/backend/pool.go
+++ b/plugin/backend/pool.go
@@ -41,6 +41,26 @@
 	br   *bufio.Reader
 	keep time.Duration // how long it may stay unused
 	used time.Time     // when its last answer ended
+
+	raw  syscall.RawConn // nil if the connection has no descriptor
+	peek func(fd uintptr) bool
+	seen [1]byte
+	err  error // of the last look at unread bytes
+}
+
+func newConn(nc net.Conn, addr string) (*conn, error) {
+	c := &conn{Conn: nc, addr: addr, br: reader(nc)}
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return c, nil
+	}
+	var err error
+	c.raw, err = sc.SyscallConn()
+	c.peek = func(fd uintptr) bool {
+		_, _, c.err = syscall.Recvfrom(int(fd), c.seen[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	}
+	return c, err
 }
 
 // pool keeps unused connections, the one used last first.
@@ -63,7 +83,7 @@
 			break
 		}
 		idle := time.Since(c.used)
-		if idle < c.keep && (idempotent || idle < onceMaxIdle) && quiet(c.Conn) {
+		if idle < c.keep && (idempotent || idle < onceMaxIdle) && c.quiet() {
 			return c, nil
 		}
 		c.Close()
@@ -72,7 +92,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, br: reader(nc)}, nil
+	c, err := newConn(nc, addr)
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return c, nil
 }
 
 func (p *pool) take(addr string) *conn {
@@ -123,22 +148,14 @@
 
 // quiet reports whether nothing waits to be read on an unused connection: bytes
 // would belong to no request, and its end would lose the next one.
-func quiet(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
+func (c *conn) quiet() bool {
+	if c.raw == nil {
 		return true
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	if err := c.raw.Read(c.peek); err != nil {
 		return false
 	}
-	var peeked error
-	var buf [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, peeked = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	return err == nil && (peeked == syscall.EAGAIN || peeked == syscall.EWOULDBLOCK)
+	return c.err == syscall.EAGAIN || c.err == syscall.EWOULDBLOCK
 }
 
 // keepAlive returns how long a connection may stay unused after an answer.
--- a/plugin/peer/client.go
+++ b/plugin/peer/client.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dogwoodhatch/dogwoodhatch/bufpool"
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
@@ -25,7 +26,9 @@
 	if err != nil {
 		return nil, err
 	}
-	buf, err := encodeRequest(&wire.StreamHead{Kind: &wire.StreamHead_Call{Call: st.contexts.encode(a.Head)}}, a.Body)
+	scratch := bufpool.Get()
+	defer bufpool.Put(scratch)
+	buf, err := appendRequest((*scratch)[:0], &wire.StreamHead{Kind: &wire.StreamHead_Call{Call: st.contexts.encode(a.Head)}}, a.Body)
 	if err != nil {
 		s.release(st, false)
 		return nil, errs.Wrap(err, errs.Internal, "report this fault", "attempt cannot be encoded")
--- a/plugin/peer/compact.go
+++ b/plugin/peer/compact.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/dogwoodhatch/dogwoodhatch/bufpool"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
@@ -118,7 +119,9 @@
 		out.RequestId = ""
 		out.PackedRequestId = packed
 	}
-	key, err := proto.MarshalOptions{Deterministic: true}.Marshal(c)
+	scratch := bufpool.Get()
+	defer bufpool.Put(scratch)
+	key, err := proto.MarshalOptions{Deterministic: true}.MarshalAppend((*scratch)[:0], c)
 	if at, ok := e[string(key)]; ok && err == nil {
 		out.ContextAt = at
 		return out
@@ -178,9 +181,12 @@
 }
 
 func unpackID(packed []byte) string {
-	var groups []string
+	id := make([]byte, 0, len(packed)/groupBytes*(2*groupBytes+1))
 	for group := range slices.Chunk(packed, groupBytes) {
-		groups = append(groups, hex.EncodeToString(group))
+		if len(id) > 0 {
+			id = append(id, '.')
+		}
+		id = hex.AppendEncode(id, group)
 	}
-	return strings.Join(groups, ".")
+	return string(id)
 }
--- a/plugin/peer/frame.go
+++ b/plugin/peer/frame.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
@@ -30,20 +30,31 @@
 	return nil
 }
 
-// encodeRequest returns the opening of a stream and the body as one buffer.
-func encodeRequest(head *wire.StreamHead, body []byte) ([]byte, error) {
-	var buf bytes.Buffer
-	if _, err := protodelim.MarshalTo(&buf, head); err != nil {
-		return nil, err
+// appendMessage appends a length-prefixed message to buf.
+func appendMessage(buf []byte, m proto.Message) ([]byte, error) {
+	buf = protowire.AppendVarint(buf, uint64(proto.Size(m)))
+	return proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buf, m)
+}
+
+// writeMessage writes one length-prefixed message.
+func writeMessage(w *bufio.Writer, m proto.Message) error {
+	buf, err := appendMessage(w.AvailableBuffer(), m)
+	if err != nil {
+		return err
 	}
-	for len(body) > 0 {
+	_, err = w.Write(buf)
+	return err
+}
+
+// appendRequest appends the opening of a stream and the body to buf.
+func appendRequest(buf []byte, head *wire.StreamHead, body []byte) ([]byte, error) {
+	buf, err := appendMessage(buf, head)
+	for len(body) > 0 && err == nil {
 		n := min(len(body), chunkBytes)
-		if _, err := protodelim.MarshalTo(&buf, &wire.Data{Chunk: body[:n]}); err != nil {
-			return nil, err
-		}
+		buf, err = appendMessage(buf, &wire.Data{Chunk: body[:n]})
 		body = body[n:]
 	}
-	return buf.Bytes(), nil
+	return buf, err
 }
 
 // readBody reads Data frames until size bytes have arrived.
--- a/plugin/peer/frame_test.go
+++ b/plugin/peer/frame_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"pgregory.net/rapid"
 
+	"github.com/dogwoodhatch/dogwoodhatch/bufpool"
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
@@ -20,7 +21,7 @@
 // encodeAnswer returns the frames of a whole answer.
 func encodeAnswer(t *rapid.T, body []byte) []byte {
 	var buf bytes.Buffer
-	w := &answerWriter{bw: bufio.NewWriter(&buf), headers: newHeaderEncoder(), hash: xxhash.New()}
+	w := newAnswerWriter(&buf, newHeaderEncoder(), 0)
 	if err := w.WriteHead(http.StatusOK, http.Header{"A": {"b"}}, call.Pressure{}); err != nil {
 		t.Fatal(err)
 	}
@@ -71,7 +72,7 @@
 }
 
 func FuzzReadMessage(f *testing.F) {
-	valid, _ := encodeRequest(&wire.StreamHead{Kind: &wire.StreamHead_Withdraw{Withdraw: &wire.Withdraw{}}}, []byte("body"))
+	valid, _ := appendRequest(nil, &wire.StreamHead{Kind: &wire.StreamHead_Withdraw{Withdraw: &wire.Withdraw{}}}, []byte("body"))
 	f.Add(valid)
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f})
 	f.Fuzz(func(t *testing.T, data []byte) {
@@ -86,3 +87,29 @@
 		}
 	})
 }
+
+// BenchmarkAnswer writes and reads one small answer.
+func BenchmarkAnswer(b *testing.B) {
+	enc, dec := newHeaderEncoder(), newHeaderDecoder()
+	header := http.Header{"Content-Type": {"text/plain"}, "X-Stamp": {"0123456789abcdef"}}
+	body := make([]byte, 400)
+	b.ReportAllocs()
+	for b.Loop() {
+		var frames bytes.Buffer
+		w := newAnswerWriter(&frames, enc, 0)
+		w.WriteHead(http.StatusOK, header, call.Pressure{Limit: 30, InFlight: 12})
+		w.Write(body)
+		w.finish(call.Result{Outcome: call.Answered})
+		r := &answerReader{st: &stream{headers: dec}, br: bufio.NewReader(&frames), hash: xxhash.New(), trailer: &kernel.Trailer{}}
+		head, err := r.head()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := r.answer(head); err != nil {
+			b.Fatal(err)
+		}
+		if n, err := bufpool.Copy(io.Discard, r); err != nil || n != int64(len(body)) {
+			b.Fatal(n, err)
+		}
+	}
+}
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/dogwoodhatch/dogwoodhatch/bufpool"
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
@@ -194,7 +195,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(head.GetTimeoutMs())*time.Millisecond)
 	defer cancel()
 	next := watchSource(st.br, cancel)
-	w := &answerWriter{bw: bufio.NewWriterSize(st, writeBufferBytes), headers: st.headers, hash: xxhash.New(), revision: p.k.Replica.Revision()}
+	w := newAnswerWriter(st, st.headers, p.k.Replica.Revision())
 	res := p.k.Target.Serve(ctx, head, body, w)
 	w.finish(res)
 	return w.err == nil && <-next
@@ -213,13 +214,10 @@
 	return next
 }
 
-// writeBufferBytes holds a small answer with its head and end, so that it leaves
-// as one write.
-const writeBufferBytes = 8 << 10
-
-// answerWriter sends the frames of one answer.
+// answerWriter sends the frames of one answer. A small answer leaves as one write.
 type answerWriter struct {
-	bw       *bufio.Writer
+	dst      io.Writer
+	bw       *bufio.Writer // nil before the first frame and after the last
 	headers  *headerEncoder
 	hash     *xxhash.Digest
 	bytes    uint64
@@ -228,6 +226,12 @@
 	revision uint64 // of the state that this node knows
 }
 
+// newAnswerWriter returns a writer to dst. It holds no buffer while the call is
+// queued or runs.
+func newAnswerWriter(dst io.Writer, headers *headerEncoder, revision uint64) *answerWriter {
+	return &answerWriter{dst: dst, headers: headers, hash: xxhash.New(), revision: revision}
+}
+
 // WriteHead implements kernel.AnswerWriter.
 func (w *answerWriter) WriteHead(status int, h http.Header, pr call.Pressure) error {
 	return w.writeHead(&wire.AnswerHead{
@@ -257,8 +261,11 @@
 }
 
 func (w *answerWriter) send(f *wire.AnswerFrame) error {
+	if w.bw == nil {
+		w.bw = bufpool.Writer(w.dst)
+	}
 	if w.err == nil {
-		_, w.err = protodelim.MarshalTo(w.bw, f)
+		w.err = writeMessage(w.bw, f)
 	}
 	return w.err
 }
@@ -277,6 +284,8 @@
 	if w.err == nil {
 		w.err = w.bw.Flush()
 	}
+	bufpool.Release(w.bw)
+	w.bw = nil
 }
 
 var _ io.Writer = (*answerWriter)(nil)
