A request without a body, or named by its caller, allocates less on its way

Cause: the profile after the writers were lent shows 19 MB of 84 in two reads of a body that the listener already holds (512 bytes each for none at all), 17 in the head for the backend server, and two errors a call that are made to be dropped: for a chain without an identity and a backend server without Keep-Alive.

Change: the listener hands over the body that it has read; the head is encoded into a lent buffer; both errors are gone, and a malformed identity is logged.

--- a/edge/conn.go
+++ b/edge/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -125,14 +124,14 @@
 	if req.Header.Get("Expect") == "100-continue" {
 		c.expectContinue()
 	}
-	body, err := io.ReadAll(io.LimitReader(req.Body, limit+1))
+	body, err := readBody(req.Body, limit+1)
 	if err != nil {
 		return nil, 0 // it broke off, or is malformed: nothing after it can be read
 	}
 	if int64(len(body)) > limit {
 		return nil, http.StatusRequestEntityTooLarge
 	}
-	req.Body = io.NopCloser(bytes.NewReader(body))
+	req.Body = newWholeBody(body)
 	req.ContentLength = int64(len(body))
 	req.RemoteAddr = c.nc.RemoteAddr().String()
 	return req, 0
--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -70,7 +70,9 @@
 
 // send writes the request and reports whether any byte may have left.
 func (x *exchange) send() (bool, error) {
-	head := x.head()
+	scratch := bufpool.Get()
+	defer bufpool.Put(scratch)
+	head := x.head((*scratch)[:0])
 	if len(x.req.Body) <= syncWriteBytes {
 		n, err := x.c.Write(append(head, x.req.Body...))
 		return n > 0, err
@@ -87,15 +89,14 @@
 	return true, nil
 }
 
-// head returns the request line and the headers.
-func (x *exchange) head() []byte {
+// head appends the request line and the headers to room.
+func (x *exchange) head(room []byte) []byte {
 	req := x.req
 	h := req.Header
 	x.b.dialect.Encode(h, req)
 	h.Del("Host")
 	h.Del("Content-Length")
-	var buf bytes.Buffer
-	buf.Grow(headSize + len(req.Body))
+	buf := bytes.NewBuffer(room)
 	buf.WriteString(req.Method)
 	buf.WriteByte(' ')
 	buf.WriteString(req.Target)
@@ -103,17 +104,14 @@
 	buf.WriteString(req.Host)
 	buf.WriteString("\r\n")
 	if len(req.Body) > 0 || req.Method != http.MethodGet && req.Method != http.MethodHead {
-		writeLength(&buf, len(req.Body))
+		writeLength(buf, len(req.Body))
 	}
 	// Writing to a buffer does not fail; names and values were read by net/http.
-	_ = h.Write(&buf)
+	_ = h.Write(buf)
 	buf.WriteString("\r\n")
 	return buf.Bytes()
 }
 
-// headSize is the room for a usual head, in bytes.
-const headSize = 768
-
 // receive reads the head of the answer, past late answers to other requests.
 func (x *exchange) receive() (*kernel.BackendResponse, error) {
 	for foreign := 0; ; {
--- a/plugin/backend/pool.go
+++ b/plugin/backend/pool.go
@@ -160,7 +160,11 @@
 
 // keepAlive returns how long a connection may stay unused after an answer.
 func keepAlive(h http.Header) time.Duration {
-	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+	told := h.Get("Keep-Alive")
+	if told == "" {
+		return maxIdle
+	}
+	for field := range strings.SplitSeq(told, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
 		if seconds, err := strconv.Atoi(value); strings.EqualFold(name, "timeout") && err == nil && seconds >= 0 {
 			return min(maxIdle, time.Duration(float64(seconds)*keepPart*float64(time.Second)))
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -200,10 +200,7 @@
 		return "", false
 	}
 	token := call.NewID().String()
-	chain, err := call.ParseID(a.head.GetChainId())
-	if err != nil {
-		chain = call.NewID() // the caller's id of the request names the chain
-	}
+	chain := a.chainID()
 	e := &kernel.Execution{
 		Allowance: a.allowance,
 		Chain: call.Chain{
@@ -219,6 +216,20 @@
 	return token, true
 }
 
+// chainID returns the identity of the chain. A call that its caller has named
+// carries none.
+func (a *attempt) chainID() call.ID {
+	if len(a.head.GetChainId()) == 0 {
+		return call.NewID()
+	}
+	id, err := call.ParseID(a.head.GetChainId())
+	if err != nil {
+		a.t.log.Warn("chain_id_malformed", zap.String("request", a.head.GetRequestId()), zap.Error(err))
+		return call.NewID()
+	}
+	return id
+}
+
 func (a *attempt) end(token string, res call.Result) {
 	t := a.t
 	t.mu.Lock()
