Connections that a backend server has forgotten are found by their rest

Cause: a backend server may drop connections that rested, without a notice; the next request on one is reset. Connections were trusted for 5 s, and for 1 s by requests that must run at most once, whose outcome is then unknown.

Ruled out: looking for unread bytes before use, which is done already and shows nothing, since the reset comes only on what is sent next.

Change: a reset or an end of a connection that had rested bounds the rest of the others to that address to half of it for 10 s, not under 50 ms. Requests that must run at most once take connections that rested at most 200 ms; a new one costs a round trip on the own VM.

--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,12 +49,12 @@
 	x.stop = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	sent, err := x.send()
 	if err != nil {
-		x.abort()
+		x.lost(ctx, err)
 		return nil, sent, errs.Wrap(err, errs.Unavailable, "check the backend server", "request to backend server %s", addr)
 	}
 	resp, err := x.receive()
 	if err != nil {
-		x.abort()
+		x.lost(ctx, err)
 		return nil, true, errs.Wrap(err, errs.Unavailable, "check the backend server", "backend server %s did not answer", addr)
 	}
 	return resp, true, nil
@@ -147,11 +149,20 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// abort gives the connection up; what runs at the backend server is cancelled by
-// that.
-func (x *exchange) abort() {
+// lost gives the connection up; what runs at the backend server is cancelled by
+// that. A connection that had rested and has ended now was gone before.
+func (x *exchange) lost(ctx context.Context, err error) {
 	x.stop()
 	x.c.Close()
+	if x.c.rested > 0 && ctx.Err() == nil && ended(err) {
+		x.b.pool.forgotten(x.c)
+		x.b.log.Info("connection_was_gone", zap.String("addr", x.c.addr), zap.String("request", x.req.RequestID), zap.Duration("rested", x.c.rested))
+	}
+}
+
+// ended reports whether the other side has ended the connection.
+func ended(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // answerBody reads an answer and returns the connection after its whole end.
--- a/plugin/backend/backend_test.go
+++ b/plugin/backend/backend_test.go
@@ -93,3 +93,92 @@
 		t.Fatalf("sent=%v error=%v", sent, err)
 	}
 }
+
+// forgetfulServer answers requests, and resets a connection on the next request
+// after it has rested for the given time.
+func forgetfulServer(t *testing.T, rest time.Duration) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serveForgetful(conn.(*net.TCPConn), rest)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func serveForgetful(conn *net.TCPConn, rest time.Duration) {
+	defer conn.Close()
+	conn.SetLinger(0)
+	br := bufio.NewReader(conn)
+	for used := time.Now(); ; used = time.Now() {
+		req, err := http.ReadRequest(br)
+		if err != nil || time.Since(used) > rest {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+func ask(b *backend, addr string, idempotent bool) error {
+	resp, _, err := b.Do(context.Background(), addr, &kernel.BackendRequest{Method: http.MethodPost, Target: "/", Host: "rates", Header: http.Header{}, Idempotent: idempotent})
+	if err != nil {
+		return err
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp.Body.Close()
+}
+
+// TestForgottenConnectionsAreLearned loses one request on a connection that the
+// backend server has forgotten, and no other.
+func TestForgottenConnectionsAreLearned(t *testing.T) {
+	addr := forgetfulServer(t, 150*time.Millisecond)
+	b := newBackend(ownDialect{}, zap.NewNop())
+	defer b.pool.close()
+	failed := 0
+	for range 4 {
+		if ask(b, addr, true) != nil {
+			failed++
+		}
+		time.Sleep(180 * time.Millisecond)
+	}
+	if failed > 1 {
+		t.Fatalf("%d of 4 requests were lost on connections that were forgotten", failed)
+	}
+}
+
+// TestConnectionsInUseAreKept resets connections that hardly rested: the bound
+// that is learned must not end the use of connections.
+func TestConnectionsInUseAreKept(t *testing.T) {
+	p := newPool()
+	defer p.close()
+	p.forgotten(&conn{addr: "a", rested: time.Millisecond})
+	if got := p.maxRest("a", time.Now(), true); got < minRest {
+		t.Fatalf("connections are kept %v only", got)
+	}
+	if got := p.maxRest("a", time.Now().Add(restMemory+time.Second), true); got != maxIdle {
+		t.Fatalf("kept %v after the bound should have lapsed", got)
+	}
+}
+
+// TestOnceRequestsAvoidRestedConnections sends requests that must run at most once
+// to a backend server that forgets connections soon: none may be lost.
+func TestOnceRequestsAvoidRestedConnections(t *testing.T) {
+	addr := forgetfulServer(t, 220*time.Millisecond)
+	b := newBackend(ownDialect{}, zap.NewNop())
+	defer b.pool.close()
+	for i := range 3 {
+		if err := ask(b, addr, false); err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+}
--- a/plugin/backend/pool.go
+++ b/plugin/backend/pool.go
@@ -27,7 +27,15 @@
 	// onceMaxIdle is the same for a request that must run at most once: a
 	// connection that the backend server closes meanwhile leaves its outcome
 	// unknown.
-	onceMaxIdle = time.Second
+	// A new connection costs a round trip on the own VM.
+	onceMaxIdle = 200 * time.Millisecond
+	// restPart is the part of the time after which a connection turned out to be
+	// gone that others to the same address may stay unused.
+	restPart = 0.5
+	// minRest is the least such time, so that connections in steady use stay.
+	minRest = 50 * time.Millisecond
+	// restMemory is how long it holds before longer rests are tried again.
+	restMemory = 10 * time.Second
 	// keepPart is the part of the told keep-alive time that is used.
 	keepPart = 0.6
 	// maxIdleConns bounds the unused connections to one address.
@@ -42,6 +50,8 @@
 	keep time.Duration // how long it may stay unused
 	used time.Time     // when its last answer ended
 
+	rested time.Duration // unused before the present request; 0 of a new connection
+
 	raw  syscall.RawConn // nil if the connection has no descriptor
 	peek func(fd uintptr) bool
 	seen [1]byte
@@ -68,11 +78,19 @@
 	dialer *net.Dialer
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address, oldest first
+	rests  map[string]rest    // by address
 	closed bool
 }
 
+// rest is a bound on the time that connections may stay unused, learned from one
+// that the backend server had given up without a notice.
+type rest struct {
+	bound time.Duration
+	since time.Time
+}
+
 func newPool() *pool {
-	return &pool{dialer: sockopt.Dialer(dialTimeout, silenceTimeout), idle: map[string][]*conn{}}
+	return &pool{dialer: sockopt.Dialer(dialTimeout, silenceTimeout), idle: map[string][]*conn{}, rests: map[string]rest{}}
 }
 
 // get returns an unused connection that is thought to live, or a new one.
@@ -82,8 +100,9 @@
 		if c == nil {
 			break
 		}
-		idle := time.Since(c.used)
-		if idle < c.keep && (idempotent || idle < onceMaxIdle) && c.quiet() {
+		now := time.Now()
+		c.rested = now.Sub(c.used)
+		if c.rested < min(c.keep, p.maxRest(addr, now, idempotent)) && c.quiet() {
 			return c, nil
 		}
 		c.Close()
@@ -100,6 +119,32 @@
 	return c, nil
 }
 
+// maxRest returns how long a connection to addr may have been unused.
+func (p *pool) maxRest(addr string, now time.Time, idempotent bool) time.Duration {
+	most := maxIdle
+	if !idempotent {
+		most = onceMaxIdle
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.rests[addr]
+	if !ok {
+		return most
+	}
+	if now.Sub(r.since) > restMemory {
+		delete(p.rests, addr)
+		return most
+	}
+	return min(most, r.bound)
+}
+
+// forgotten notes that a connection was gone when it was used again.
+func (p *pool) forgotten(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rests[c.addr] = rest{bound: max(minRest, time.Duration(restPart*float64(c.rested))), since: time.Now()}
+}
+
 func (p *pool) take(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
