The daemon has no switches that turn mechanisms off

Cause: section [baseline] of the settings made a node naive or turned single mechanisms off.

Change: the section, the naive mode and the flags are gone. The method admission.SetDisabled had no caller.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -289,16 +289,6 @@
 	c.ramp.begin(&c.cfg, c.limiter.limit, now)
 }
 
-// SetDisabled changes which mechanisms are off. Order can change only while the
-// queue is empty, and is left as it is otherwise.
-func (c *Controller) SetDisabled(m Mechanisms) {
-	if c.queue.size > 0 {
-		m.Order = c.queue.fifo
-	}
-	c.cfg.Disabled = m
-	c.queue.fifo = m.Order
-}
-
 // Waiting returns the number of queued calls.
 func (c *Controller) Waiting() int { return c.queue.size }
 
--- a/e2e/process/process.go
+++ b/e2e/process/process.go
@@ -2,12 +2,14 @@
 package process
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -41,6 +43,45 @@
 	return m.Run()
 }
 
+// Edit replaces a piece of one source file, which must hold it once.
+type Edit struct{ File, Old, New string }
+
+// Variant builds a program with an edited source, so that a test can show what
+// happens without a mechanism, and returns its name. The file is a path in the
+// repository.
+func Variant(t *testing.T, program, name string, e Edit) string {
+	t.Helper()
+	root, err := filepath.Abs("..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(root, e.File)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := strings.Count(string(text), e.Old); n != 1 {
+		t.Fatalf("%s holds %q %d times; the variant %q needs it once", e.File, e.Old, n, name)
+	}
+	edited := filepath.Join(t.TempDir(), "edited.go")
+	overlay, err := json.Marshal(map[string]map[string]string{"Replace": {path: edited}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	overlayFile := filepath.Join(t.TempDir(), "overlay.json")
+	for file, content := range map[string]string{edited: strings.Replace(string(text), e.Old, e.New, 1), overlayFile: string(overlay)} {
+		if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	variant := program + "-" + name
+	build := exec.Command("go", "build", "-overlay", overlayFile, "-o", filepath.Join(binDir, variant), module+"apps/"+program)
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build of the variant %q: %v\n%s", name, err, out)
+	}
+	return variant
+}
+
 // Process is one process of a test. It ends with the test.
 type Process struct {
 	cmd  *exec.Cmd
--- a/plugin/caller/attempt.go
+++ b/plugin/caller/attempt.go
@@ -116,7 +116,7 @@
 
 // mayHedge reports whether a second attempt beside the first is possible.
 func (r *request) mayHedge() bool {
-	return r.Chain.Idempotent && !r.c.naive && r.Allowance.Left()+r.share.Held() > 0 && (r.Chain.MaxSends == 0 || r.reached+1 < r.Chain.MaxSends)
+	return r.Chain.Idempotent && r.Allowance.Left()+r.share.Held() > 0 && (r.Chain.MaxSends == 0 || r.reached+1 < r.Chain.MaxSends)
 }
 
 // hedge makes a second attempt beside the first if allowance and budget pay for
@@ -146,7 +146,7 @@
 	a.prove(ans)
 	ans.Latency = time.Since(began)
 	a.settle(ans)
-	r.s.finish(a.choice.Member.Node, r.Chain.Priority, ans.Result, r.c.naive)
+	r.s.finish(a.choice.Member.Node, r.Chain.Priority, ans.Result)
 	if ans.Body == nil {
 		a.cancel()
 		return ans
@@ -184,14 +184,14 @@
 	if ans.Outcome != call.Answered {
 		return ans
 	}
-	return hold(a.ctx, ans, c.buffer, c.whole)
+	return hold(a.ctx, ans, c.buffer)
 }
 
 // prove asks the target to withdraw a lost attempt; when the target promises
 // that it never ran, it counts as refused.
 func (a *attempt) prove(ans *kernel.Answer) {
 	c := a.r.c
-	if ans.Outcome != call.Unknown || ans.Reason != call.ReasonConnLost || !c.withdraw {
+	if ans.Outcome != call.Unknown || ans.Reason != call.ReasonConnLost {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
--- a/plugin/caller/body.go
+++ b/plugin/caller/body.go
@@ -25,11 +25,11 @@
 
 // hold reads up to limit bytes of the body. A whole answer comes back with its
 // length; one that broke off is an unknown outcome; a longer one is passed on
-// as a stream. Without check a broken answer passes for whole.
-func hold(ctx context.Context, ans *kernel.Answer, limit int, check bool) *kernel.Answer {
+// as a stream.
+func hold(ctx context.Context, ans *kernel.Answer, limit int) *kernel.Answer {
 	var buf bytes.Buffer
 	n, err := bufpool.Copy(&buf, io.LimitReader(ans.Body, int64(limit)+1))
-	if err != nil && check {
+	if err != nil {
 		ans.Body.Close()
 		return &kernel.Answer{Result: call.Result{Outcome: call.Unknown, Reason: brokenReason(ctx), Pressure: ans.Pressure}, Trailer: ans.Trailer}
 	}
--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -12,36 +11,25 @@
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/retry"
 	"github.com/dogwoodhatch/dogwoodhatch/routing"
-	"github.com/dogwoodhatch/dogwoodhatch/settings"
 )
 
-const (
-	withdrawTimeout = 300 * time.Millisecond
-	naiveRetries    = 3 // per hop, of the naive baseline
-)
+// withdrawTimeout bounds the question whether a lost attempt ran.
+const withdrawTimeout = 300 * time.Millisecond
 
 // caller is the plug-in.
 type caller struct {
-	k        *kernel.Kernel
-	log      *zap.Logger
-	naive    bool
-	withdraw bool
-	claims   bool
-	whole    bool // a broken answer is an unknown outcome
-	meters   *meters
-	buffer   int // bytes of an answer held until it is whole
+	k      *kernel.Kernel
+	log    *zap.Logger
+	meters *meters
+	buffer int // bytes of an answer held until it is whole
 
 	mu       sync.RWMutex
 	services map[string]*service
 }
 
 func newCaller(k *kernel.Kernel) *caller {
-	b := k.Settings.Baseline
 	return &caller{
-		k: k, log: k.Log, naive: b.Naive(),
-		withdraw: !b.Off(settings.MechanismWithdraw),
-		claims:   !b.Off(settings.MechanismClaims),
-		whole:    !b.Off(settings.MechanismWholeAnswer),
+		k: k, log: k.Log,
 		buffer:   k.Settings.Limits.BufferBytes,
 		meters:   newMeters(k.Metrics),
 		services: map[string]*service{},
@@ -114,7 +102,7 @@
 			return r.final(refusedAnswer(refusal))
 		}
 		ans := r.send(ctx, choice)
-		if ans.Outcome == call.Answered && !r.naiveRetry(ctx, ans) {
+		if ans.Outcome == call.Answered {
 			return ans
 		}
 		if ans.Outcome == call.Unknown {
@@ -137,13 +125,13 @@
 // yet, or any member once all were tried.
 func (r *request) pick() (routing.Choice, routing.Refusal) {
 	q := routing.Query{Priority: r.Chain.Priority, Deadline: r.Chain.Deadline, Exclude: r.tried, Anywhere: r.crowded, Elsewhere: r.slow}
-	choice, refusal := r.s.pick(r.c.k.Fleet, q, r.c.naive)
+	choice, refusal := r.s.pick(r.c.k.Fleet, q)
 	if refusal.Reason != call.ReasonNoMember || len(r.tried) == 0 || r.crowded {
 		return choice, refusal
 	}
 	r.tried = nil
 	q.Exclude = nil
-	return r.s.pick(r.c.k.Fleet, q, r.c.naive)
+	return r.s.pick(r.c.k.Fleet, q)
 }
 
 func refusedAnswer(f routing.Refusal) *kernel.Answer {
@@ -159,16 +147,6 @@
 	return ans
 }
 
-// naiveRetry tells whether the naive baseline sends an answered request again:
-// it takes every server error for transient.
-func (r *request) naiveRetry(ctx context.Context, ans *kernel.Answer) bool {
-	again := r.c.naive && ans.Status >= http.StatusInternalServerError && r.attempts <= naiveRetries && ctx.Err() == nil
-	if again {
-		ans.Body.Close()
-	}
-	return again
-}
-
 // mayReach reports whether another backend server may get the request.
 func (r *request) mayReach() bool {
 	return r.Chain.MaxSends == 0 || r.reached < r.Chain.MaxSends
@@ -186,9 +164,6 @@
 
 // retry decides about another attempt and waits the backoff.
 func (r *request) retry(ctx context.Context, ans *kernel.Answer, expected time.Duration) bool {
-	if r.c.naive {
-		return r.attempts <= naiveRetries && ctx.Err() == nil
-	}
 	if !r.mayReach() || r.crowded && r.attempts > crowdedRetries(r.Chain.Priority) {
 		return false
 	}
--- a/plugin/caller/claim.go
+++ b/plugin/caller/claim.go
@@ -35,7 +35,7 @@
 // It returns the final answer when the key is not granted by every holder, nil
 // otherwise.
 func (r *request) claim(ctx context.Context) *kernel.Answer {
-	if r.IdempotencyKey == "" || r.Chain.Idempotent || !r.c.claims {
+	if r.IdempotencyKey == "" || r.Chain.Idempotent {
 		return nil
 	}
 	members := r.s.memberIDs(r.c.k.Fleet)
--- a/plugin/caller/service.go
+++ b/plugin/caller/service.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,7 +31,6 @@
 	rng     *rand.Rand
 	seen    uint64 // version of the fleet that the router knows
 	members []membership.Member
-	next    int // round robin position of the naive baseline
 }
 
 func newService(name string, k *kernel.Kernel) *service {
@@ -42,9 +40,6 @@
 	cfg.Domain = k.Settings.Node.FailureDomain
 	cfg.RemotePerSecond = remoteCallsPerSecond
 	cfg.RemoteBurst = remoteCallsPerSecond
-	if k.Settings.Baseline.Off(settings.MechanismThrottle) {
-		cfg.ThrottleFactor = math.MaxFloat64
-	}
 	s := &service{name: name, router: routing.New(cfg, rng), bounds: k.Settings.Bounds, retries: retry.DefaultConfig(), rng: rng}
 	if s.shared() {
 		s.budget = retry.NewFleetBudget(s.share(k.Fleet))
@@ -85,14 +80,11 @@
 }
 
 // pick chooses the target of the next attempt and counts it in.
-func (s *service) pick(fleet kernel.Fleet, q routing.Query, naive bool) (routing.Choice, routing.Refusal) {
+func (s *service) pick(fleet kernel.Fleet, q routing.Query) (routing.Choice, routing.Refusal) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refresh(fleet, now)
-	if naive {
-		return s.roundRobin()
-	}
 	choice, refusal := s.router.Pick(q, now)
 	if refusal.Reason == call.ReasonNone {
 		s.router.Start(choice.Member.Node, now)
@@ -100,21 +92,8 @@
 	return choice, refusal
 }
 
-// roundRobin is the choice of the naive baseline.
-func (s *service) roundRobin() (routing.Choice, routing.Refusal) {
-	if len(s.members) == 0 {
-		return routing.Choice{}, routing.Refusal{Reason: call.ReasonNoMember, RetryAfter: time.Second}
-	}
-	s.next++
-	m := s.members[s.next%len(s.members)]
-	return routing.Choice{Member: routing.Member{Node: m.ID, Addr: m.Addr, Region: m.Region}, Rule: "round_robin"}, routing.Refusal{}
-}
-
 // finish tells the router how an attempt ended.
-func (s *service) finish(node string, p call.Priority, res call.Result, naive bool) {
-	if naive {
-		return
-	}
+func (s *service) finish(node string, p call.Priority, res call.Result) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -11,7 +11,6 @@
 	"github.com/dogwoodhatch/dogwoodhatch/edge"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
-	"github.com/dogwoodhatch/dogwoodhatch/settings"
 )
 
 const (
@@ -25,13 +24,11 @@
 type entry struct {
 	k       *kernel.Kernel
 	log     *zap.Logger
-	context bool // sub-calls inherit from the execution that makes them
-	bound   bool // one retry allowance covers the whole chain
 	servers []*edge.Server
 }
 
 func newEntry(k *kernel.Kernel) *entry {
-	return &entry{k: k, log: k.Log, context: !k.Settings.Baseline.Off(settings.MechanismContext), bound: !k.Settings.Baseline.Off(settings.MechanismRetryBound)}
+	return &entry{k: k, log: k.Log}
 }
 
 // Start implements kernel.Plugin.
--- a/plugin/entry/request.go
+++ b/plugin/entry/request.go
@@ -50,12 +50,9 @@
 	if !valid {
 		return
 	}
-	if ok && e.context {
+	if ok {
 		req.Chain = exec.Chain
 		req.Allowance = exec.Allowance
-		if !e.bound {
-			req.Allowance = retry.NewAllowance(e.profile(req.Service).Match(r.Method, r.URL.Path).Retries)
-		}
 	} else {
 		e.begin(req, &e.profile(req.Service).SubCall, r)
 	}
--- a/plugin/peer/config.go
+++ b/plugin/peer/config.go
@@ -34,8 +34,6 @@
 	MaxStreams int
 	// MaxRequestBytes bounds the request body that a node accepts.
 	MaxRequestBytes int
-	// Liveness turns the probing of silent sessions on.
-	Liveness bool
 }
 
 // DefaultConfig suits links of up to 40 ms round trip.
@@ -51,7 +49,6 @@
 		StreamIdleTimeout: 10 * time.Second,
 
 		MaxStreams: 2048,
-		Liveness:   true,
 	}
 }
 
--- a/plugin/peer/pool.go
+++ b/plugin/peer/pool.go
@@ -155,7 +155,7 @@
 		s.closeIdle(now.Add(-p.cfg.StreamIdleTimeout))
 		switch s.state(now, p.cfg) {
 		case stateSilent:
-			if p.cfg.Liveness && s.probing.CompareAndSwap(false, true) {
+			if s.probing.CompareAndSwap(false, true) {
 				go p.probe(s)
 			}
 		case stateIdle:
--- a/plugin/peer/setup.go
+++ b/plugin/peer/setup.go
@@ -2,16 +2,12 @@
 // carry length-prefixed protobuf messages, one stream per attempt.
 package peer
 
-import (
-	"github.com/dogwoodhatch/dogwoodhatch/kernel"
-	"github.com/dogwoodhatch/dogwoodhatch/settings"
-)
+import "github.com/dogwoodhatch/dogwoodhatch/kernel"
 
 func init() { kernel.Register("peer", kernel.StageTransport, setup) }
 
 func setup(k *kernel.Kernel) (kernel.Plugin, error) {
 	cfg := DefaultConfig()
-	cfg.Liveness = !k.Settings.Baseline.Off(settings.MechanismLiveness)
 	cfg.MaxRequestBytes = k.Settings.Limits.MaxRequestBytes
 	p := newPeer(cfg, k)
 	k.Transport = p.pool
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -86,9 +86,6 @@
 	if done {
 		return res, false
 	}
-	if a.ctrl == nil {
-		return res, true
-	}
 	select {
 	case act := <-a.decided:
 		return a.decision(act)
@@ -117,9 +114,6 @@
 		return refused(call.ReasonLeaving, 0), true
 	}
 	a.backend = t.backend
-	if !t.admit {
-		return call.Result{}, false
-	}
 	a.ctrl = t.ctrl
 	a.ticket = &admission.Ticket{
 		Class: a.head.GetClass(), Priority: call.Priority(min(a.head.GetPriority(), call.NumPriorities-1)),
@@ -244,9 +238,6 @@
 }
 
 func (a *attempt) finish(s admission.Sample) {
-	if a.ctrl == nil {
-		return
-	}
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
 	a.t.deliver(a.ctrl.Done(a.ticket, s, time.Now()))
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -15,7 +15,6 @@
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/lifecycle"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
-	"github.com/dogwoodhatch/dogwoodhatch/settings"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
@@ -29,7 +28,6 @@
 type target struct {
 	k        *kernel.Kernel
 	log      *zap.Logger
-	admit    bool
 	cancel   context.CancelFunc
 	started  time.Time
 	waiting  chan struct{} // calls have begun to wait
@@ -57,7 +55,6 @@
 	t := &target{
 		k:        k,
 		log:      k.Log,
-		admit:    !k.Settings.Baseline.Off(settings.MechanismAdmission),
 		started:  now,
 		waiting:  make(chan struct{}, 1),
 		registry: execution.NewRegistry(execution.DefaultRegistryConfig()),
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -8,6 +8,7 @@
 operator_token=demo-operator-token
 store_url=http://127.0.0.1:$((port_base - 1))
 stop_seconds=30
+node_program=bin/dogwoodhatch-node
 
 backend_pids=()
 node_pids=()
@@ -82,7 +83,7 @@
 level = $log_level
 $extra
 EOF
-  start "$name" bin/dogwoodhatch-node --config "$run_dir/$name.ini"
+  start "$name" "$node_program" --config "$run_dir/$name.ini"
   node_pids+=("$started")
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,7 +24,6 @@
 	Backend  Backend
 	Limits   Limits
 	Log      Log
-	Baseline Baseline
 }
 
 // Node names the node and its place.
@@ -100,47 +99,6 @@
 	Buffer int    // lines held while the output is slow; more are dropped and counted
 }
 
-// Baseline turns mechanisms off, for comparison only.
-type Baseline struct {
-	Mode    string   // "none" or "naive"
-	Disable []string // names of single mechanisms
-}
-
-// Off tells whether the named mechanism is turned off.
-func (b Baseline) Off(mechanism string) bool {
-	if b.Mode == modeNaive {
-		return true
-	}
-	for _, d := range b.Disable {
-		if d == mechanism {
-			return true
-		}
-	}
-	return false
-}
-
-// Naive tells whether the node runs as the naive baseline.
-func (b Baseline) Naive() bool { return b.Mode == modeNaive }
-
-const modeNaive = "naive"
-
-// Names of the mechanisms that Baseline can turn off.
-const (
-	MechanismAdmission   = "admission"
-	MechanismThrottle    = "throttle"
-	MechanismRetryBound  = "retry_bound"
-	MechanismWithdraw    = "withdraw"
-	MechanismLiveness    = "liveness"
-	MechanismClaims      = "claims"
-	MechanismWholeAnswer = "whole_answer"
-	MechanismContext     = "context"
-)
-
-var mechanisms = []string{
-	MechanismAdmission, MechanismThrottle, MechanismRetryBound, MechanismWithdraw, MechanismLiveness,
-	MechanismClaims, MechanismWholeAnswer, MechanismContext,
-}
-
 // Load reads and checks the settings file at path. The error lists all faults.
 func Load(path string) (*Settings, error) {
 	f, err := ini.Load(path)
