Members that fail like those of other regions keep their calls

Both members of the own region were ejected as outliers against members elsewhere that had not been called lately and counted as never failing; calls then went to other regions, where nine of ten failed too. The route lines of one node (one request in 8 logged) show it: rule remote, bad_rate 0.84 to 0.99.

Ruled out: calls to quotedesk, which stay in the region but for spills.

Members of another region count as never failing only if none was tried for ExploreInterval, so that one region that fails still finds a better one. Ejected members of the own region are used again once those of other regions turn out to fail alike.

--- a/routing/config.go
+++ b/routing/config.go
@@ -69,6 +69,11 @@
 	// any answer need no margin.
 	OutlierMargin float64
 
+	// ExploreInterval is how long the failures of members of other regions say that
+	// the cause lies behind all. A lower value finds a region that has recovered
+	// sooner and sends more calls to regions that fail as well.
+	ExploreInterval time.Duration
+
 	// EjectBase is the first time of ejection, doubled by each failed probe up to
 	// EjectMax. A lower EjectMax finds a recovered member sooner and sends more calls
 	// to a dead one.
@@ -170,6 +175,7 @@
 		EjectRate:           0.5,
 		EjectVolume:         8,
 		OutlierMargin:       0.2,
+		ExploreInterval:     5 * time.Second,
 		EjectBase:           time.Second,
 		EjectMax:            15 * time.Second,
 		ProbeGrace:          3 * time.Second,
--- a/routing/eject.go
+++ b/routing/eject.go
@@ -8,7 +8,7 @@
 // fail records a failure. It ejects the member if that fails too often, so far
 // as ejectable says that the failures are its own. A probe that fails as the
 // members in use do ends the ejection: the cause lies behind all of them.
-func (s *state) fail(cfg *Config, ejectable bool, rng *rand.Rand, now time.Time) {
+func (s *state) fail(cfg *Config, v verdict, ejectable bool, rng *rand.Rand, now time.Time) {
 	s.outcomes.add(cfg, 0, 1, now)
 	s.consecutive++
 	switch {
@@ -16,6 +16,7 @@
 		s.readmit(now)
 	case s.ejected || ejectable && s.failing(cfg, now):
 		s.eject(cfg, rng, now)
+		s.erred = v == verdictError
 	}
 }
 
@@ -36,6 +37,7 @@
 	d = min(d, cfg.EjectMax)
 	s.ejections++
 	s.ejected = true
+	s.ejectedRate = s.outcomes.rate(cfg, now)
 	s.probed = false
 	s.ejectedUntil = now.Add(spread(d, rng))
 }
@@ -59,12 +61,17 @@
 	if !s.ejected || !s.probed {
 		return
 	}
-	s.ejected = false
-	s.consecutive = 0
+	s.restore()
 	s.outcomes = outcomes{}
 	s.rampFrom = now
 }
 
+// restore puts an ejected member to use again.
+func (s *state) restore() {
+	s.ejected = false
+	s.consecutive = 0
+}
+
 // settle forgets earlier ejections once the member has stayed well for a ramp.
 func (s *state) settle(cfg *Config, now time.Time) {
 	if s.ejected || s.rampFrom.IsZero() || now.Sub(s.rampFrom) < cfg.RampTime {
--- a/routing/member.go
+++ b/routing/member.go
@@ -48,7 +48,9 @@
 	ejected      bool
 	ejectedUntil time.Time
 	probeSent    time.Time
-	probed       bool // sent a call since it was ejected
+	probed       bool    // sent a call since it was ejected
+	erred        bool    // ejected for answers that report a failure
+	ejectedRate  float64 // failure rate at the ejection
 }
 
 // leaving reports whether the member gets nothing new.
@@ -83,11 +85,11 @@
 		s.leftAt = now
 		return
 	}
-	switch judge(res) {
+	switch v := judge(res); v {
 	case verdictGood:
 		s.succeed(cfg, res, now)
 	case verdictError, verdictSilent:
-		s.fail(cfg, ejectable, rng, now)
+		s.fail(cfg, v, ejectable, rng, now)
 	case verdictNone:
 		s.learnAbandoned(cfg, res, now)
 	case verdictRefused:
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -85,6 +85,9 @@
 		}
 		return r.refuse(call.ReasonThrottled) // it would only be refused again
 	}
+	if len(p.near) == 0 {
+		r.restore(p, now)
+	}
 	if len(p.near) > 0 {
 		return r.chooseNear(p, q, now)
 	}
--- a/routing/sim_test.go
+++ b/routing/sim_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -279,3 +280,33 @@
 		t.Errorf("less than four fifths")
 	}
 }
+
+// TestCauseBehindAllMembersAtLowRates lets members of three regions fail nine of ten
+// calls, at the rate of a node that calls the service now and then.
+func TestCauseBehindAllMembersAtLowRates(t *testing.T) {
+	for _, rate := range []float64{10, 30, 100} {
+		for seed := range uint64(10) {
+			cfg := DefaultConfig()
+			cfg.RemotePerSecond, cfg.RemoteBurst = 2000, 2000 // no bound, as on links that are billed by volume
+			w := newWorld(2, cfg)
+			w.rng = rand.New(rand.NewPCG(seed, 7))
+			w.add(2, "a")
+			for _, s := range append(append(w.servers, w.add(2, "b")...), w.add(2, "c")...) {
+				s.behaviour = failsMost
+			}
+			w.run(5*time.Second, normal(rate))
+			w.calls()
+			w.run(10*time.Second, normal(rate))
+			total, each := w.calls()
+			far := 0
+			for _, s := range w.servers {
+				if s.Region != "a" {
+					far += each[s.Node]
+				}
+			}
+			if far*5 > total {
+				t.Errorf("%v calls/s, seed %d: %d of %d calls went to other regions, more than a fifth", rate, seed, far, total)
+			}
+		}
+	}
+}
--- a/routing/world_test.go
+++ b/routing/world_test.go
@@ -26,6 +26,7 @@
 	serves behaviour = iota
 	failsAtOnce
 	failsHalf // of the calls, after their time
+	failsMost // nine of ten
 	silent
 )
 
@@ -167,7 +168,7 @@
 		w.after(way+busy, func() {
 			s.inFlight--
 			status := 200
-			if s.behaviour == failsHalf && w.rng.IntN(2) == 0 {
+			if s.behaviour == failsHalf && w.rng.IntN(2) == 0 || s.behaviour == failsMost && w.rng.IntN(10) > 0 {
 				status = 500
 			}
 			end(call.Result{Outcome: call.Answered, Status: status, Pressure: s.pressure()})
