--- a/plugin/caller/service.go
+++ b/plugin/caller/service.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
@@ -22,6 +24,7 @@
 // microseconds and never across I/O.
 type service struct {
 	name string
+	log  *zap.Logger
 
 	mu      sync.Mutex
 	router  *routing.Router
@@ -40,7 +43,7 @@
 	cfg.Domain = k.Settings.Node.FailureDomain
 	cfg.RemotePerSecond = remoteCallsPerSecond
 	cfg.RemoteBurst = remoteCallsPerSecond
-	s := &service{name: name, router: routing.New(cfg, rng), bounds: k.Settings.Bounds, retries: retry.DefaultConfig(), rng: rng}
+	s := &service{name: name, log: k.Log, router: routing.New(cfg, rng), bounds: k.Settings.Bounds, retries: retry.DefaultConfig(), rng: rng}
 	if s.shared() {
 		s.budget = retry.NewFleetBudget(s.share(k.Fleet))
 		s.retries.FreeRefusals = true
@@ -83,25 +86,43 @@
 func (s *service) pick(fleet kernel.Fleet, q routing.Query) (routing.Choice, routing.Refusal) {
 	now := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.refresh(fleet, now)
 	choice, refusal := s.router.Pick(q, now)
 	if refusal.Reason == call.ReasonNone {
 		s.router.Start(choice.Member.Node, now)
 	}
+	changes := s.router.TakeChanges()
+	s.mu.Unlock()
+	s.tell(changes)
 	return choice, refusal
 }
 
+// tell logs which members get no calls for a while, and which do again.
+func (s *service) tell(changes []routing.Change) {
+	for _, c := range changes {
+		switch {
+		case c.Ejected:
+			s.log.Info("member_ejected", zap.String("service", s.name), zap.String("member", c.Node), zap.Float64("bad_rate", c.FailureRate), zap.Time("probe_at", c.Until))
+		case c.Alike:
+			s.log.Info("member_readmitted", zap.String("service", s.name), zap.String("member", c.Node), zap.String("reason", "others_fail_alike"), zap.Float64("bad_rate", c.FailureRate))
+		default:
+			s.log.Info("member_readmitted", zap.String("service", s.name), zap.String("member", c.Node), zap.String("reason", "works"))
+		}
+	}
+}
+
 // finish tells the router how an attempt ended.
 func (s *service) finish(node string, p call.Priority, res call.Result) {
 	now := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.router.Finish(node, res, now)
 	s.router.Record(p, res, now)
 	if res.Outcome == call.Answered && !s.shared() {
 		s.budget.Deposit(now)
 	}
+	changes := s.router.TakeChanges()
+	s.mu.Unlock()
+	s.tell(changes)
 }
 
 // sent counts the first attempt of a request: one of a caller pays for retries
--- a/routing/pick_test.go
+++ b/routing/pick_test.go
@@ -297,3 +297,32 @@
 		t.Fatal("calls do not come back")
 	}
 }
+
+// TestEjectionsAreTold checks what the log says of an ejection and its end.
+func TestEjectionsAreTold(t *testing.T) {
+	w := newWorld(1, DefaultConfig())
+	bad := w.add(2, "a")[0]
+	w.add(1, "b")
+	r := w.callers[0]
+	for range r.cfg.EjectAfter {
+		fail(r, bad.Member, w.now)
+	}
+	told := r.TakeChanges()
+	if len(told) != 1 || told[0].Node != bad.Node || !told[0].Ejected || told[0].FailureRate < r.cfg.EjectRate || !told[0].Until.After(w.now) {
+		t.Fatalf("told %+v of an ejection", told)
+	}
+	fail(r, bad.Member, w.now)
+	if again := r.TakeChanges(); len(again) != 0 {
+		t.Fatalf("told %+v again", again)
+	}
+	w.now = told[0].Until.Add(time.Millisecond)
+	c, _ := r.Pick(Query{Priority: call.PriorityNormal}, w.now)
+	if c.Rule != RuleProbe || c.Member.Node != bad.Node {
+		t.Fatalf("chose %+v instead of the probe", c)
+	}
+	r.Start(bad.Node, w.now)
+	r.Finish(bad.Node, call.Result{Outcome: call.Answered, Status: 200}, w.now)
+	if told := r.TakeChanges(); len(told) != 1 || told[0].Node != bad.Node || told[0].Ejected || told[0].Alike {
+		t.Fatalf("told %+v of a probe that went well", told)
+	}
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -19,6 +19,7 @@
 	spill    spillBudget
 	mean     meanService
 	explored time.Time // when another region was last seen at work
+	changes  []Change  // not taken yet
 }
 
 // New returns a router without members.
@@ -91,7 +92,32 @@
 		return
 	}
 	ejectable := judge(res) != verdictError || r.outlier(s, now)
+	was := s.ejected
 	s.finish(&r.cfg, res, ejectable, r.rng, now)
+	switch {
+	case s.ejected && !was:
+		r.changes = append(r.changes, Change{Node: node, Ejected: true, FailureRate: s.ejectedRate, Until: s.ejectedUntil})
+	case was && !s.ejected && judge(res) == verdictError:
+		r.changes = append(r.changes, Change{Node: node, FailureRate: s.ejectedRate, Alike: true})
+	case was && !s.ejected:
+		r.changes = append(r.changes, Change{Node: node})
+	}
+}
+
+// Change is an ejection or its end.
+type Change struct {
+	Node        string
+	Ejected     bool
+	FailureRate float64   // of recent calls
+	Until       time.Time // when the first probe is due
+	Alike       bool      // ended since the other members fail alike
+}
+
+// TakeChanges returns the changes since the last call, for the log.
+func (r *Router) TakeChanges() []Change {
+	changes := r.changes
+	r.changes = nil
+	return changes
 }
 
 // Record counts the end of an attempt of that priority for the throttle, which
@@ -179,6 +205,7 @@
 	for _, s := range p.nearEjected {
 		if s.erred && s.ejectedRate <= rate+r.cfg.OutlierMargin {
 			s.restore()
+			r.changes = append(r.changes, Change{Node: s.Node, FailureRate: rate, Alike: true})
 			p.near = append(p.near, s)
 		}
 	}
