--- a/plugin/backend/backend_test.go
+++ b/plugin/backend/backend_test.go
@@ -15,10 +15,8 @@
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 )
 
-// closingServer answers the first request of each connection and, on the
-// second, closes the connection after it has read the request, as if it had
-// run it and died.
-func closingServer(t *testing.T, requests *atomic.Int64) string {
+// listen serves each connection by a function and returns the address.
+func listen(t *testing.T, serve func(*net.TCPConn)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -30,13 +28,15 @@
 			if err != nil {
 				return
 			}
-			go serveOnce(conn, requests)
+			go serve(conn.(*net.TCPConn))
 		}
 	}()
 	return ln.Addr().String()
 }
 
-func serveOnce(conn net.Conn, requests *atomic.Int64) {
+// serveOnce answers the first request of a connection and, on the second, closes
+// the connection after it has read the request, as if it had run it and died.
+func serveOnce(conn *net.TCPConn, requests *atomic.Int64) {
 	defer conn.Close()
 	br := bufio.NewReader(conn)
 	for i := range 2 {
@@ -58,7 +58,7 @@
 	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost} {
 		t.Run(method, func(t *testing.T) {
 			var requests atomic.Int64
-			addr := closingServer(t, &requests)
+			addr := listen(t, func(conn *net.TCPConn) { serveOnce(conn, &requests) })
 			b := newBackend(ownDialect{"X-Shed"}, zap.NewNop())
 			defer b.pool.close()
 			req := &kernel.BackendRequest{Method: method, Target: "/", Host: "rates", Header: http.Header{"Idempotency-Key": {"k"}}}
@@ -94,26 +94,8 @@
 	}
 }
 
-// forgetfulServer answers requests, and resets a connection on the next request
+// serveForgetful answers requests, and resets the connection on the next request
 // after it has rested for the given time.
-func forgetfulServer(t *testing.T, rest time.Duration) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serveForgetful(conn.(*net.TCPConn), rest)
-		}
-	}()
-	return ln.Addr().String()
-}
-
 func serveForgetful(conn *net.TCPConn, rest time.Duration) {
 	defer conn.Close()
 	conn.SetLinger(0)
@@ -140,7 +122,7 @@
 // TestForgottenConnectionsAreLearned loses one request on a connection that the
 // backend server has forgotten, and no other.
 func TestForgottenConnectionsAreLearned(t *testing.T) {
-	addr := forgetfulServer(t, 150*time.Millisecond)
+	addr := listen(t, func(conn *net.TCPConn) { serveForgetful(conn, 150*time.Millisecond) })
 	b := newBackend(ownDialect{}, zap.NewNop())
 	defer b.pool.close()
 	failed := 0
@@ -172,7 +154,7 @@
 // TestOnceRequestsAvoidRestedConnections sends requests that must run at most once
 // to a backend server that forgets connections soon: none may be lost.
 func TestOnceRequestsAvoidRestedConnections(t *testing.T) {
-	addr := forgetfulServer(t, 220*time.Millisecond)
+	addr := listen(t, func(conn *net.TCPConn) { serveForgetful(conn, 220*time.Millisecond) })
 	b := newBackend(ownDialect{}, zap.NewNop())
 	defer b.pool.close()
 	for i := range 3 {
