Idle connections that one request may not use stay for others

Cause: a request that must run at most once closed every connection that had been idle too long for it, one after the other, and so all that idempotent ones still use.

Change: it leaves them and opens one.

--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -150,13 +150,13 @@
 }
 
 // lost gives the connection up; what runs at the backend server is cancelled by
-// that. A connection that had rested and has ended now was gone before.
+// that. An idle connection that ends as it is used again was gone before.
 func (x *exchange) lost(ctx context.Context, err error) {
 	x.stop()
 	x.c.Close()
-	if x.c.rested > 0 && ctx.Err() == nil && ended(err) {
+	if x.c.wasIdle > 0 && ctx.Err() == nil && ended(err) {
 		x.b.pool.forgotten(x.c)
-		x.b.log.Info("connection_was_gone", zap.String("addr", x.c.addr), zap.String("request", x.req.RequestID), zap.Duration("rested", x.c.rested))
+		x.b.log.Info("connection_was_gone", zap.String("addr", x.c.addr), zap.String("request", x.req.RequestID), zap.Duration("idle", x.c.wasIdle))
 	}
 }
 
--- a/plugin/backend/backend_test.go
+++ b/plugin/backend/backend_test.go
@@ -95,14 +95,14 @@
 }
 
 // serveForgetful answers requests, and resets the connection on the next request
-// after it has rested for the given time.
-func serveForgetful(conn *net.TCPConn, rest time.Duration) {
+// after it was idle for the given time.
+func serveForgetful(conn *net.TCPConn, idle time.Duration) {
 	defer conn.Close()
 	conn.SetLinger(0)
 	br := bufio.NewReader(conn)
 	for used := time.Now(); ; used = time.Now() {
 		req, err := http.ReadRequest(br)
-		if err != nil || time.Since(used) > rest {
+		if err != nil || time.Since(used) > idle {
 			return
 		}
 		io.Copy(io.Discard, req.Body)
@@ -137,23 +137,23 @@
 	}
 }
 
-// TestConnectionsInUseAreKept resets connections that hardly rested: the bound
+// TestConnectionsInUseAreKept resets connections that were hardly idle: the bound
 // that is learned must not end the use of connections.
 func TestConnectionsInUseAreKept(t *testing.T) {
 	p := newPool()
 	defer p.close()
-	p.forgotten(&conn{addr: "a", rested: time.Millisecond})
-	if got := p.maxRest("a", time.Now(), true); got < minRest {
+	p.forgotten(&conn{addr: "a", wasIdle: time.Millisecond})
+	if got := p.maxIdleTo("a", true, time.Now()); got < minIdle {
 		t.Fatalf("connections are kept %v only", got)
 	}
-	if got := p.maxRest("a", time.Now().Add(restMemory+time.Second), true); got != maxIdle {
+	if got := p.maxIdleTo("a", true, time.Now().Add(idleMemory+time.Second)); got != maxIdle {
 		t.Fatalf("kept %v after the bound should have lapsed", got)
 	}
 }
 
-// TestOnceRequestsAvoidRestedConnections sends requests that must run at most once
+// TestOnceRequestsAvoidIdleConnections sends requests that must run at most once
 // to a backend server that forgets connections soon: none may be lost.
-func TestOnceRequestsAvoidRestedConnections(t *testing.T) {
+func TestOnceRequestsAvoidIdleConnections(t *testing.T) {
 	addr := listen(t, func(conn *net.TCPConn) { serveForgetful(conn, 220*time.Millisecond) })
 	b := newBackend(ownDialect{}, zap.NewNop())
 	defer b.pool.close()
@@ -164,3 +164,38 @@
 		time.Sleep(250 * time.Millisecond)
 	}
 }
+
+// TestOnceRequestsLeaveIdleConnections sends a request that must run at most once
+// while several connections have been idle too long for it: others still use them.
+func TestOnceRequestsLeaveIdleConnections(t *testing.T) {
+	var opened atomic.Int64
+	addr := listen(t, func(conn *net.TCPConn) {
+		opened.Add(1)
+		serveForgetful(conn, time.Minute)
+	})
+	b := newBackend(ownDialect{}, zap.NewNop())
+	defer b.pool.close()
+	together := func() {
+		var conns []*conn
+		for range 3 {
+			c, err := b.pool.get(context.Background(), addr, true, false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.keep = maxIdle
+			conns = append(conns, c)
+		}
+		for _, c := range conns {
+			b.pool.put(c)
+		}
+	}
+	together()
+	time.Sleep(onceMaxIdle + 50*time.Millisecond)
+	if err := ask(b, addr, false); err != nil {
+		t.Fatal(err)
+	}
+	together()
+	if n := opened.Load(); n != 4 {
+		t.Fatalf("%d connections were opened, want 3 and one for the request that must run once", n)
+	}
+}
--- a/plugin/backend/pool.go
+++ b/plugin/backend/pool.go
@@ -26,16 +26,15 @@
 	maxIdle = 5 * time.Second
 	// onceMaxIdle is the same for a request that must run at most once: a
 	// connection that the backend server closes meanwhile leaves its outcome
-	// unknown.
-	// A new connection costs a round trip on the own VM.
+	// unknown, and a new one costs a round trip on the own VM.
 	onceMaxIdle = 200 * time.Millisecond
-	// restPart is the part of the time after which a connection turned out to be
+	// idlePart is the part of the time after which a connection turned out to be
 	// gone that others to the same address may stay unused.
-	restPart = 0.5
-	// minRest is the least such time, so that connections in steady use stay.
-	minRest = 50 * time.Millisecond
-	// restMemory is how long it holds before longer rests are tried again.
-	restMemory = 10 * time.Second
+	idlePart = 0.5
+	// minIdle is the least such time, so that connections in steady use stay.
+	minIdle = 50 * time.Millisecond
+	// idleMemory is how long it holds before longer times are tried again.
+	idleMemory = 10 * time.Second
 	// keepPart is the part of the told keep-alive time that is used.
 	keepPart = 0.6
 	// maxIdleConns bounds the unused connections to one address.
@@ -50,7 +49,7 @@
 	keep time.Duration // how long it may stay unused
 	used time.Time     // when its last answer ended
 
-	rested time.Duration // unused before the present request; 0 of a new connection
+	wasIdle time.Duration // unused before the present request; 0 of a new connection
 
 	raw  syscall.RawConn // nil if the connection has no descriptor
 	peek func(fd uintptr) bool
@@ -77,32 +76,30 @@
 type pool struct {
 	dialer *net.Dialer
 	mu     sync.Mutex
-	idle   map[string][]*conn // by address, oldest first
-	rests  map[string]rest    // by address
+	idle   map[string][]*conn   // by address, oldest first
+	bounds map[string]idleBound // by address
 	closed bool
 }
 
-// rest is a bound on the time that connections may stay unused, learned from one
-// that the backend server had given up without a notice.
-type rest struct {
+// idleBound is how long connections may stay unused, learned from one that the
+// backend server had given up without a notice.
+type idleBound struct {
 	bound time.Duration
 	since time.Time
 }
 
 func newPool() *pool {
-	return &pool{dialer: sockopt.Dialer(dialTimeout, silenceTimeout), idle: map[string][]*conn{}, rests: map[string]rest{}}
+	return &pool{dialer: sockopt.Dialer(dialTimeout, silenceTimeout), idle: map[string][]*conn{}, bounds: map[string]idleBound{}}
 }
 
 // get returns an unused connection that is thought to live, or a new one.
 func (p *pool) get(ctx context.Context, addr string, idempotent, fresh bool) (*conn, error) {
 	for !fresh {
-		c := p.take(addr)
+		c := p.take(addr, idempotent, time.Now())
 		if c == nil {
 			break
 		}
-		now := time.Now()
-		c.rested = now.Sub(c.used)
-		if c.rested < min(c.keep, p.maxRest(addr, now, idempotent)) && c.quiet() {
+		if c.quiet() {
 			return c, nil
 		}
 		c.Close()
@@ -119,33 +116,34 @@
 	return c, nil
 }
 
-// maxRest returns how long a connection to addr may have been unused.
-func (p *pool) maxRest(addr string, now time.Time, idempotent bool) time.Duration {
+// maxIdleTo returns how long a connection to addr may have been unused. The caller
+// holds mu.
+func (p *pool) maxIdleTo(addr string, idempotent bool, now time.Time) time.Duration {
 	most := maxIdle
 	if !idempotent {
 		most = onceMaxIdle
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r, ok := p.rests[addr]
+	learned, ok := p.bounds[addr]
 	if !ok {
 		return most
 	}
-	if now.Sub(r.since) > restMemory {
-		delete(p.rests, addr)
+	if now.Sub(learned.since) > idleMemory {
+		delete(p.bounds, addr)
 		return most
 	}
-	return min(most, r.bound)
+	return min(most, learned.bound)
 }
 
 // forgotten notes that a connection was gone when it was used again.
 func (p *pool) forgotten(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.rests[c.addr] = rest{bound: max(minRest, time.Duration(restPart*float64(c.rested))), since: time.Now()}
+	p.bounds[c.addr] = idleBound{bound: max(minIdle, time.Duration(idlePart*float64(c.wasIdle))), since: time.Now()}
 }
 
-func (p *pool) take(addr string) *conn {
+// take returns the connection that was used last, or nil if that is too long ago for
+// the request. It then stays for another request, or until put gives it up.
+func (p *pool) take(addr string, idempotent bool, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
@@ -153,6 +151,10 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	c.wasIdle = now.Sub(c.used)
+	if c.wasIdle >= min(c.keep, p.maxIdleTo(addr, idempotent, now)) {
+		return nil
+	}
 	p.idle[addr] = list[:len(list)-1]
 	return c
 }
