--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -21,6 +21,13 @@
 	// maxSkippedResponses is the number of responses to other requests that may
 	// precede the expected one.
 	maxSkippedResponses = 2
+	// maxSkippedBytes bounds the total body bytes of skipped responses. Reading a
+	// longer body costs more than a new connection.
+	maxSkippedBytes = 256 << 10
+	// maxHeadBytes bounds the bytes read before the head of a response is complete,
+	// interim responses included. It is the limit that net/http's client uses by
+	// default divided by 16, because a node holds many heads at once.
+	maxHeadBytes = 64 << 10
 	// maxSyncWriteBytes is the largest body that is written before the response is
 	// read. A larger body is written in the background, because the response may
 	// arrive before the whole body is sent.
@@ -119,14 +126,12 @@
 
 // receive reads the head of the response and skips late responses to other requests.
 func (x *exchange) receive() (*kernel.BackendResponse, error) {
+	skippedBytes := int64(0)
 	for skippedResponses := 0; ; {
-		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.req.Method})
+		resp, err := x.readHead()
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue // an interim (1xx) response
-		}
 		report := x.backend.dialect.Decode(resp.StatusCode, resp.Header, x.req)
 		if !report.OtherRequest {
 			return x.response(resp, report), nil
@@ -134,8 +139,24 @@
 		x.skippedAny = true
 		skippedResponses++
 		x.backend.log.Warn("foreign_answer", zap.String("addr", x.conn.addr), zap.String("request", x.req.RequestID), zap.Int("status", resp.StatusCode))
-		if _, err := bufpool.Copy(io.Discard, resp.Body); err != nil || skippedResponses > maxSkippedResponses {
-			return nil, errs.Wrap(err, errs.Unavailable, "check the backend server", "too many or incomplete responses to other requests")
+		n, err := bufpool.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes-skippedBytes))
+		skippedBytes += n
+		if err != nil || skippedResponses > maxSkippedResponses || skippedBytes >= maxSkippedBytes {
+			return nil, errs.Wrap(err, errs.Unavailable, "check the backend server", "too many or incomplete responses to other requests, %d bytes", skippedBytes)
+		}
+	}
+}
+
+// readHead reads the head of a final response and skips interim (1xx) ones. It fails
+// with errHeadTooLong after maxHeadBytes, so that a server that sends a head without
+// end or endless interim responses costs neither memory nor the time of the request.
+func (x *exchange) readHead() (*http.Response, error) {
+	x.conn.limitRead(maxHeadBytes)
+	defer x.conn.unlimitRead()
+	for {
+		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.req.Method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
 		}
 	}
 }
--- a/plugin/backend/pool.go
+++ b/plugin/backend/pool.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
 )
 
@@ -55,6 +56,9 @@
 
 	idleTime time.Duration // how long it was idle before the present request; 0 for a new connection
 
+	readLimited bool // Read fails once readLeft bytes were read
+	readLeft    int
+
 	raw      syscall.RawConn // nil if the connection has no file descriptor
 	peekFunc func(fd uintptr) bool
 	peekBuf  [1]byte
@@ -62,7 +66,8 @@
 }
 
 func newConn(nc net.Conn, addr string) (*conn, error) {
-	c := &conn{Conn: nc, addr: addr, br: newReader(nc)}
+	c := &conn{Conn: nc, addr: addr}
+	c.br = newReader(c)
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return c, nil
@@ -76,6 +81,28 @@
 	return c, err
 }
 
+// errHeadTooLong reports a response whose head exceeds maxHeadBytes.
+var errHeadTooLong = errs.New(errs.Unavailable, "check the backend server", "the head of a response exceeds %d bytes", maxHeadBytes)
+
+// limitRead makes Read fail with errHeadTooLong after n more bytes, until unlimitRead
+// is called.
+func (c *conn) limitRead(n int) { c.readLimited, c.readLeft = true, n }
+
+func (c *conn) unlimitRead() { c.readLimited = false }
+
+// Read implements io.Reader.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.readLimited {
+		return c.Conn.Read(p)
+	}
+	if c.readLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.readLeft)])
+	c.readLeft -= n
+	return n, err
+}
+
 // pool holds idle connections. The most recently used one is reused first.
 type pool struct {
 	dialer  *net.Dialer
