--- a/membership/registration.go
+++ b/membership/registration.go
@@ -22,9 +22,10 @@
 }
 
 // DefaultRegistrationConfig returns settings that restore records within two
-// seconds after the store has recovered.
+// seconds after the store has recovered: a lease that ended is noticed by the next
+// renewal at the latest. The TTL leaves four renewals, so that three may be lost.
 func DefaultRegistrationConfig() RegistrationConfig {
-	return RegistrationConfig{TTL: 8 * time.Second, RenewInterval: 1300 * time.Millisecond, RetryDelay: 600 * time.Millisecond}
+	return RegistrationConfig{TTL: 8 * time.Second, RenewInterval: 1900 * time.Millisecond, RetryDelay: 600 * time.Millisecond}
 }
 
 // Step is the next action of a Registration.
--- a/membership/watchers.go
+++ b/membership/watchers.go
@@ -22,11 +22,17 @@
 	// RankDelay is added to StaleAfter for each node that ranks before this one, so
 	// that the nodes of a region without watchers do not all call the store at once.
 	RankDelay time.Duration
+
+	// GatherDelay is the time between the end of a watch that returned changes and
+	// the next one. While many records change, as when a fleet starts, a watch then
+	// returns several changes instead of one. A longer delay needs fewer calls; the
+	// second of two changes arrives later by up to this time.
+	GatherDelay time.Duration
 }
 
 // DefaultWatchConfig returns settings for changes that must be in force within 2.5 s.
 func DefaultWatchConfig() WatchConfig {
-	return WatchConfig{PerRegion: 1, StaleAfter: 1600 * time.Millisecond, RankDelay: 20 * time.Millisecond}
+	return WatchConfig{PerRegion: 1, StaleAfter: 1600 * time.Millisecond, RankDelay: 20 * time.Millisecond, GatherDelay: 100 * time.Millisecond}
 }
 
 // Rank returns the number of live members of the region that precede the node id in
--- a/plugin/directory/directory_test.go
+++ b/plugin/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -245,3 +246,38 @@
 		t.Fatalf("members %v", all)
 	}
 }
+
+// TestFleetStartMakesFewStoreCalls starts a region whose nodes register one after the
+// other, as after a start of the whole fleet. Each node reads the state once; only the
+// nodes that are first in rank may go on watching. Without a pause between watches each
+// registration returned the watches of all nodes that did not know their rank yet.
+func TestFleetStartMakesFewStoreCalls(t *testing.T) {
+	const (
+		nodes           = 40
+		registerWithin  = 1500 * time.Millisecond
+		maxReadsPerNode = 4 // a list, and watches until a member of a lower rank is known
+	)
+	s, _, url := startStore(t)
+	fleet := newFleet()
+	var all []*testNode
+	for i := range nodes {
+		all = append(all, fleet.start(t, fmt.Sprint("vm", i), fmt.Sprint("127.0.0.1:", i+1), url))
+	}
+	for _, n := range all {
+		n.Fleet.Announce("rates", 5)
+		time.Sleep(registerWithin / nodes)
+	}
+	waitFor(t, "all members at all nodes", 3*time.Second, func() bool {
+		for _, n := range all {
+			if len(n.Fleet.Members("rates")) != nodes {
+				return false
+			}
+		}
+		return true
+	})
+	c := s.Counts()
+	t.Log(c)
+if reads := c["list"] + c["watch"]; reads > maxReadsPerNode*nodes {
+		t.Fatalf("%d lists and watches of %d nodes, calls by kind: %v", reads, nodes, c)
+	}
+}
--- a/plugin/directory/follow.go
+++ b/plugin/directory/follow.go
@@ -36,7 +36,11 @@
 		if !watch && !d.waitForRefresh(watchCheckInterval) {
 			continue
 		}
-		whole = d.readStore(whole || d.revision.Load() == 0)
+		var changed bool
+		whole, changed = d.readStore(whole || d.revision.Load() == 0)
+		if changed {
+			d.waitForRefresh(cfg.GatherDelay)
+		}
 	}
 }
 
@@ -72,8 +76,8 @@
 }
 
 // readStore makes one call to the store and applies the result. It reports whether
-// the next call must read the whole state.
-func (d *directory) readStore(whole bool) bool {
+// the next call must read the whole state, and whether this one returned entries.
+func (d *directory) readStore(whole bool) (nextWhole, changed bool) {
 	var entries []store.Entry
 	var revision uint64
 	var err error
@@ -85,14 +89,14 @@
 		entries, revision, err = d.watch(after)
 	}
 	if err != nil {
-		return d.handleReadError(after, whole, err)
+		return d.handleReadError(after, whole, err), false
 	}
 	d.confirmStore(0)
 	if revision < after {
 		d.log.Error("store_lost_state", zap.Uint64("seen", after), zap.Uint64("now", revision))
 	}
 	d.k.Control.Do(func() { d.apply(entries, revision, whole) })
-	return false
+	return false, len(entries) > 0
 }
 
 // watch waits for changes after a revision. A refresh request cancels it, because a
