--- a/routing/config.go
+++ b/routing/config.go
@@ -37,6 +37,11 @@
 	// deadline.
 	PressureMaxAge time.Duration
 
+	// LimitMaxAge is the age from which a reported limit below DefaultLimit no longer
+	// counts. A lower value tries members with few calls sooner, and overestimates
+	// small members more often.
+	LimitMaxAge time.Duration
+
 	// OutcomeHalfLife is the age at which a success or a failure counts half. A
 	// higher value remembers a failing member longer.
 	OutcomeHalfLife time.Duration
@@ -172,6 +177,7 @@
 		DefaultServiceTime:  10 * time.Millisecond,
 		PressureHalfLife:    500 * time.Millisecond,
 		PressureMaxAge:      time.Second,
+		LimitMaxAge:         2 * time.Second,
 		OutcomeHalfLife:     5 * time.Second,
 		OutcomeVolume:       40,
 		LostHalfLife:        2 * time.Second,
--- a/routing/pick_test.go
+++ b/routing/pick_test.go
@@ -328,3 +328,37 @@
 		t.Fatalf("changes %+v after a successful probe", changes)
 	}
 }
+
+// TestMemberWithASmallLimitIsTriedAgain replays steady calls to two members, one of which
+// has just been replaced and reported the small limit that an unused member starts with.
+// A single call seems to use a quarter of it, so the busy member looked better for ever,
+// and the new one never got the calls by which its limit grows.
+func TestMemberWithASmallLimitIsTriedAgain(t *testing.T) {
+	const (
+		callInterval = 10 * time.Millisecond
+		latency      = 20 * time.Millisecond
+		limit        = 10 * time.Second
+	)
+	cfg := DefaultConfig()
+	cfg.Region, cfg.Domain = "r", "d"
+	r := New(cfg, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(100, 0)
+	r.Update([]Member{{Node: "busy", Region: "r", Domain: "d"}, {Node: "new", Region: "r", Domain: "d"}}, now)
+	answer := func(node string, limit, inFlight int) {
+		r.Finish(node, call.Result{Outcome: call.Answered, Status: 200, Latency: latency, Pressure: call.Pressure{Limit: limit, InFlight: inFlight, AdmitPriority: call.NumPriorities - 1}}, now)
+	}
+	r.Start("new", now)
+	answer("new", 4, 0)
+	for end := now.Add(limit); now.Before(end); now = now.Add(callInterval) {
+		c, refusal := r.Pick(Query{}, now)
+		if refusal.Reason != call.ReasonNone {
+			t.Fatalf("refused: %+v", refusal)
+		}
+		if c.Member.Node == "new" {
+			return
+		}
+		r.Start("busy", now)
+		answer("busy", 48, 6)
+	}
+	t.Fatalf("the new member got no call within %v", limit)
+}
--- a/routing/reference_test.go
+++ b/routing/reference_test.go
@@ -59,6 +59,9 @@
 	limit, load, service := float64(cfg.DefaultLimit), float64(m.inFlight), mean.Seconds()
 	if m.pressure.Limit > 0 {
 		limit = float64(m.pressure.Limit)
+		if limit < float64(cfg.DefaultLimit) && age > cfg.LimitMaxAge.Seconds() {
+			limit = float64(cfg.DefaultLimit) // the member may have grown since
+		}
 		load += decay * math.Max(0, float64(m.pressure.InFlight+m.pressure.Queued-m.inFlightAtPressure))
 		service += (m.pressure.ServiceTime.Seconds() - service) * math.Pow(0.5, age/cfg.OutcomeHalfLife.Seconds())
 	}
--- a/routing/router.go
+++ b/routing/router.go
@@ -159,7 +159,7 @@
 		Member:       s.Member,
 		InFlight:     s.inFlight,
 		Load:         s.load(&r.cfg, now),
-		Limit:        s.limit(&r.cfg),
+		Limit:        s.limit(&r.cfg, now),
 		Score:        s.score(&r.cfg, now),
 		Ramp:         s.ramp(&r.cfg, now),
 		FailureRate:  s.outcomes.rate(&r.cfg, now),
--- a/routing/score.go
+++ b/routing/score.go
@@ -78,12 +78,18 @@
 	return m.value.Seconds()
 }
 
-// limit returns the concurrency limit that the member reported, or DefaultLimit.
-func (s *memberState) limit(cfg *Config) float64 {
-	if s.pressure.Limit > 0 {
-		return float64(s.pressure.Limit)
+// limit returns the concurrency limit that the member reported, or DefaultLimit. A
+// smaller limit that was reported longer than LimitMaxAge ago counts as DefaultLimit: a
+// member raises the limit that it has learned only while it gets calls.
+func (s *memberState) limit(cfg *Config, now time.Time) float64 {
+	assumed := max(cfg.DefaultLimit, 1)
+	switch {
+	case s.pressure.Limit <= 0:
+		return float64(assumed)
+	case now.Sub(s.pressureAt) > cfg.LimitMaxAge:
+		return float64(max(s.pressure.Limit, assumed))
 	}
-	return float64(max(cfg.DefaultLimit, 1))
+	return float64(s.pressure.Limit)
 }
 
 // load returns the estimated number of calls at the member: the router's own calls,
@@ -101,7 +107,7 @@
 // utilization returns the load, including the call to be sent, as a fraction of the
 // limit.
 func (s *memberState) utilization(cfg *Config, now time.Time) float64 {
-	return (s.load(cfg, now) + 1) / s.limit(cfg)
+	return (s.load(cfg, now) + 1) / s.limit(cfg, now)
 }
 
 // queueDelay returns the queue delay that the member reported, decayed by age.
@@ -121,7 +127,7 @@
 // saturated reports whether the member has no capacity for another call. During its
 // ramp a member has only a fraction of its capacity, but at least one call.
 func (s *memberState) saturated(cfg *Config, now time.Time) bool {
-	capacity := s.limit(cfg) * cfg.SaturatedLoad * s.ramp(cfg, now)
+	capacity := s.limit(cfg, now) * cfg.SaturatedLoad * s.ramp(cfg, now)
 	return s.load(cfg, now) >= max(capacity, 1)
 }
 
@@ -154,5 +160,5 @@
 
 // weight returns the weight of the member in the random draw of candidates.
 func (s *memberState) weight(cfg *Config, now time.Time) float64 {
-	return s.limit(cfg) * s.ramp(cfg, now) * (1 - s.badRate(cfg, now))
+	return s.limit(cfg, now) * s.ramp(cfg, now) * (1 - s.badRate(cfg, now))
 }
