--- a/membership/fleet.go
+++ b/membership/fleet.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
 // Config holds the settings of a Fleet.
@@ -36,12 +38,24 @@
 // Put stores a member whose record is present in the store. It reports whether the
 // member has joined: it was unknown, had another ID or had lapsed.
 func (f *Fleet) Put(key string, m Member) (joined bool) {
-	f.version++
 	old := f.members[key]
+	if old != nil && isSameAfterRestore(&old.Member, &m) {
+		return false
+	}
+	f.version++
 	f.members[key] = &memberEntry{Member: m}
 	return old == nil || old.ID != m.ID || old.State != Alive
 }
 
+// isSameAfterRestore reports whether a record differs from the known one only by a
+// revision of a newer era. All records get such revisions when the store was restored;
+// the member has not announced itself anew.
+func isSameAfterRestore(old, m *Member) bool {
+	same := *m
+	same.Revision = old.Revision
+	return same == *old && store.Era(m.Revision) > store.Era(old.Revision)
+}
+
 // Remove marks the member of a record as lapsed after the record was deleted from
 // the store. It returns false if the member is unknown or has already lapsed.
 func (f *Fleet) Remove(key string, now time.Time) (Member, bool) {
--- a/membership/registration.go
+++ b/membership/registration.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
 // RegistrationConfig holds the settings of a Registration.
@@ -19,13 +20,17 @@
 	// does not answer. It must be well below the time within which a record must be
 	// restored after the store has recovered.
 	RetryDelay time.Duration
+	// RestoreSpread is the time over which the nodes write their records again after
+	// the store was restored from an older copy, so that they do not exceed its rates
+	// together.
+	RestoreSpread time.Duration
 }
 
 // DefaultRegistrationConfig returns settings that restore records within two
 // seconds after the store has recovered: a lease that ended is noticed by the next
 // renewal at the latest. The TTL leaves four renewals, so that three may be lost.
 func DefaultRegistrationConfig() RegistrationConfig {
-	return RegistrationConfig{TTL: 8 * time.Second, RenewInterval: 1900 * time.Millisecond, RetryDelay: 600 * time.Millisecond}
+	return RegistrationConfig{TTL: 8 * time.Second, RenewInterval: 1900 * time.Millisecond, RetryDelay: 600 * time.Millisecond, RestoreSpread: 500 * time.Millisecond}
 }
 
 // Step is the next action of a Registration.
@@ -48,11 +53,13 @@
 	wanted        []byte // record to keep in the store; nil if there is none yet
 	written       []byte // record that the store is known to hold; nil if unknown
 	knownRevision uint64 // revision of the key, 0 if the key does not exist
+	era           uint64 // highest era of a revision of the key
 	revisionStale bool   // knownRevision may be wrong
 	lease         string
 	renewedAt     time.Time // when the last successful grant or renewal was sent
 	notBefore     time.Time // no call before this time
 	failing       bool
+	spreadNext    bool // the next call is delayed by up to RestoreSpread
 }
 
 // NewRegistration returns a registration that has nothing to write yet.
@@ -65,19 +72,26 @@
 
 // ObserveChange records a change of the node's own key that a watch of the store
 // reported. deleted says whether the change deleted the key. Changes up to the known
-// revision are ignored.
+// revision are ignored. After a change of a newer era, which a restored store reports,
+// the record is written again under a new lease.
 func (r *Registration) ObserveChange(revision uint64, deleted bool) {
 	if revision <= r.knownRevision {
 		return
 	}
+	restored := r.era < store.Era(revision) && r.lease != ""
+	r.era = store.Era(revision)
 	r.knownRevision = revision
 	r.revisionStale = false
 	if deleted {
-		// The lease expired or was revoked, so a new one is needed.
 		r.knownRevision = 0
+	}
+	if deleted || restored {
+		// The lease expired, was revoked or was lost by the store, so a new one is
+		// needed.
 		r.lease = ""
 		r.written = nil
 		r.notBefore = time.Time{}
+		r.spreadNext = restored
 	}
 }
 
@@ -94,6 +108,10 @@
 	if r.wanted == nil {
 		return Wait, r.cfg.RenewInterval
 	}
+	if r.spreadNext {
+		r.spreadNext = false
+		r.notBefore = now.Add(time.Duration(r.rng.Float64() * float64(r.cfg.RestoreSpread)))
+	}
 	if now.Before(r.notBefore) {
 		return Wait, r.notBefore.Sub(now)
 	}
@@ -140,6 +158,7 @@
 	}
 	r.written = record
 	r.knownRevision = revision
+	r.era = max(r.era, store.Era(revision))
 }
 
 // ReadDone records the result of a read. Revision 0 or an error of kind errs.NotFound
--- a/membership/watchers.go
+++ b/membership/watchers.go
@@ -28,11 +28,18 @@
 	// returns several changes instead of one. A longer delay needs fewer calls; the
 	// second of two changes arrives later by up to this time.
 	GatherDelay time.Duration
+
+	// AloneDelay is how long after its start a node that knows no other member and has
+	// no record yet waits before it watches. When a whole fleet starts for the first
+	// time, no node knows its rank, and each watch of each node returns with the first
+	// records of the others. A longer delay needs fewer calls; a node that really is
+	// alone learns of changes later during this time.
+	AloneDelay time.Duration
 }
 
 // DefaultWatchConfig returns settings for changes that must be in force within 2.5 s.
 func DefaultWatchConfig() WatchConfig {
-	return WatchConfig{PerRegion: 1, StaleAfter: 1600 * time.Millisecond, RankDelay: 20 * time.Millisecond, GatherDelay: 100 * time.Millisecond}
+	return WatchConfig{PerRegion: 1, StaleAfter: 1600 * time.Millisecond, RankDelay: 20 * time.Millisecond, GatherDelay: 100 * time.Millisecond, AloneDelay: 2 * time.Second}
 }
 
 // Rank returns the number of live members of the region that precede the node id in
@@ -49,6 +56,12 @@
 	return rank
 }
 
+// AwaitOthers reports whether a node without a record, which started at the given time
+// and knows that many members, should not watch yet.
+func (c WatchConfig) AwaitOthers(members int, registered bool, started, now time.Time) bool {
+	return members == 0 && !registered && now.Sub(started) < c.AloneDelay
+}
+
 // ShouldWatch reports whether a node of the given rank should watch the store.
 // lastAnswer is the latest time at which the store is known to have answered any
 // node.
--- a/plugin/directory/directory.go
+++ b/plugin/directory/directory.go
@@ -20,7 +20,7 @@
 const expireInterval = time.Second
 
 // directory implements kernel.Profiles, kernel.Fleet and kernel.Replica. table, fleet,
-// catalog, registration, self and recordWaiters belong to the control goroutine;
+// catalog, registration, self, lost and recordWaiters belong to the control goroutine;
 // goroutines that serve traffic read the atomic values.
 type directory struct {
 	k      *kernel.Kernel
@@ -34,11 +34,14 @@
 	catalog       *profile.Catalog
 	registration  *membership.Registration
 	self          membership.Member
+	lost          lostRecords
 	recordWaiters []chan struct{} // closed once the store holds this node's record
 
 	view           atomic.Pointer[membershipView]
 	snapshot       atomic.Pointer[profile.Snapshot]
 	revision       atomic.Uint64 // revision of table
+	registered     atomic.Bool   // the store holds the record of this node
+	hasLost        atomic.Bool   // lost may not be empty
 	recordRevision atomic.Uint64 // highest revision of an operator record
 	confirmedAt    atomic.Int64  // latest time at which the store is known to have answered some node, in ns since started
 	started        time.Time
@@ -56,6 +59,7 @@
 	d := &directory{
 		k: k, log: k.Log, store: k.Store,
 		table: replica.New(), fleet: membership.NewFleet(membership.DefaultConfig()), catalog: profile.NewCatalog(),
+		lost:             lostRecords{},
 		registration:     membership.NewRegistration(membership.DefaultRegistrationConfig(), rng),
 		self:             membership.Member{ID: k.NodeID, Addr: k.Settings.Listen.Peer, Region: k.Settings.Node.Region, Domain: k.Settings.Node.FailureDomain},
 		started:          time.Now(),
@@ -83,6 +87,7 @@
 	if d.store != nil {
 		go d.followStore()
 		go d.runRegistration()
+		go d.runRestore()
 	}
 	go d.runSync()
 	go d.runExpiry()
@@ -148,7 +153,7 @@
 	first := d.table.Revision() == 0
 	var changes []store.Entry
 	if whole {
-		changes = d.table.Replace(entries, revision)
+		changes = d.replaceState(entries, revision)
 	} else {
 		changes = d.table.Apply(entries, revision)
 	}
@@ -214,6 +219,10 @@
 
 // applyOperatorRecord applies a change of a record written by operators.
 func (d *directory) applyOperatorRecord(e store.Entry) {
+	if d.lost.supersedes(e) {
+		d.log.Warn("record", zap.String("key", e.Key), zap.Uint64("revision", e.Revision), zap.String("applied", "older_copy"))
+		return
+	}
 	before := d.catalog.Snapshot()
 	var value []byte
 	if !e.Deleted {
--- a/plugin/directory/directory_test.go
+++ b/plugin/directory/directory_test.go
@@ -276,8 +276,7 @@
 		return true
 	})
 	c := s.Counts()
-	t.Log(c)
-if reads := c["list"] + c["watch"]; reads > maxReadsPerNode*nodes {
+	if reads := c["list"] + c["watch"]; reads > maxReadsPerNode*nodes {
 		t.Fatalf("%d lists and watches of %d nodes, calls by kind: %v", reads, nodes, c)
 	}
 }
--- a/plugin/directory/follow.go
+++ b/plugin/directory/follow.go
@@ -59,7 +59,11 @@
 		return true, 0
 	}
 	now := time.Now()
-	rank := membership.Rank(d.failing.filterHealthy(d.All(), now), d.self.Region, d.self.ID)
+	all := d.All()
+	if cfg.AwaitOthers(len(all), d.registered.Load(), d.started, now) {
+		return false, 0
+	}
+	rank := membership.Rank(d.failing.filterHealthy(all, now), d.self.Region, d.self.ID)
 	return cfg.ShouldWatch(rank, now.Add(-d.storeAge()), now), rank
 }
 
--- a/plugin/directory/register.go
+++ b/plugin/directory/register.go
@@ -13,7 +13,7 @@
 // noBackendDelay is how long a node waits for its backend server to be announced
 // before it writes a record without a service. Writing the record first without and
 // then with a service would cost an additional call to the store.
-const noBackendDelay = 2 * time.Second
+const noBackendDelay = 4 * time.Second
 
 // Announce implements kernel.Fleet.
 func (d *directory) Announce(service string, slots int) {
@@ -136,7 +136,12 @@
 	case membership.Write:
 		var revision uint64
 		revision, err = d.store.CompareAndSwap(d.ctx, d.ownKey(), record, expect, lease)
-		recordResult = func(now time.Time) { r.WriteDone(record, revision, err, now) }
+		recordResult = func(now time.Time) {
+			r.WriteDone(record, revision, err, now)
+			if err == nil {
+				d.addSelf(record, revision)
+			}
+		}
 	case membership.Read:
 		e, readErr := d.store.Get(d.ctx, d.ownKey())
 		err = readErr
@@ -154,11 +159,30 @@
 		wasRegistered := r.Registered()
 		wasFailing := r.Failing()
 		recordResult(time.Now())
+		d.registered.Store(r.Registered())
 		d.notifyRecorded()
 		d.logRegistration(wasRegistered, wasFailing, err)
 	})
 }
 
+// addSelf adds this node to the members as soon as the store holds its record, and
+// ends the wait for other members. It runs on the control goroutine.
+func (d *directory) addSelf(record []byte, revision uint64) {
+	m, err := membership.Decode(d.ownKey(), record, revision)
+	if err != nil {
+		d.log.Error("own_record_malformed", zap.Uint64("revision", revision), zap.Error(err))
+		return
+	}
+	wasAlone := len(d.All()) == 0
+	if d.fleet.Put(d.ownKey(), m) {
+		d.logMember("joined", &m)
+	}
+	d.publish()
+	if wasAlone {
+		d.Refresh()
+	}
+}
+
 // logRegistration logs when the store gains or loses the record, and when the store
 // becomes unreachable or reachable again. It runs on the control goroutine.
 func (d *directory) logRegistration(wasRegistered, wasFailing bool, err error) {
--- a/plugin/directory/sync.go
+++ b/plugin/directory/sync.go
@@ -106,7 +106,9 @@
 	ctx, cancel := context.WithTimeout(d.ctx, syncTimeout)
 	defer cancel()
 	reply := &wire.StateReply{}
-	payload, err := d.k.Transport.Exchange(ctx, addr, stateTopic, wire.Encode(&wire.StateRequest{After: d.revision.Load(), Addr: d.self.Addr}))
+	req := &wire.StateRequest{Addr: d.self.Addr}
+	req.EraPlus_1, req.After = wire.EncodeRevision(d.revision.Load())
+	payload, err := d.k.Transport.Exchange(ctx, addr, stateTopic, wire.Encode(req))
 	if err == nil {
 		err = wire.Decode(payload, reply)
 	}
@@ -121,17 +123,18 @@
 		return
 	}
 	d.confirmStore(time.Duration(reply.GetAgeMs()) * time.Millisecond)
-	if reply.GetRevision() <= d.revision.Load() {
+	revision := wire.DecodeRevision(reply.GetEraPlus_1(), reply.GetRevision(), d.revision.Load())
+	if revision <= d.revision.Load() {
 		return
 	}
-	d.log.Debug("synced", zap.String("addr", addr), zap.Uint64("revision", reply.GetRevision()), zap.Int("entries", len(reply.GetEntries())))
-	d.k.Control.Do(func() { d.apply(decodeEntries(reply.GetEntries()), reply.GetRevision(), reply.GetWhole()) })
+	d.log.Debug("synced", zap.String("addr", addr), zap.Uint64("revision", revision), zap.Int("entries", len(reply.GetEntries())))
+	d.k.Control.Do(func() { d.apply(decodeEntries(reply.GetEntries(), store.Era(revision)), revision, reply.GetWhole()) })
 }
 
-func decodeEntries(list []*wire.StateEntry) []store.Entry {
+func decodeEntries(list []*wire.StateEntry, era uint64) []store.Entry {
 	entries := make([]store.Entry, 0, len(list))
 	for _, e := range list {
-		entries = append(entries, store.Entry{Key: e.GetKey(), Revision: e.GetRevision(), Value: e.GetValue(), Deleted: e.GetDeleted()})
+		entries = append(entries, store.Entry{Key: e.GetKey(), Revision: store.JoinRevision(era, e.GetRevision()), Value: e.GetValue(), Deleted: e.GetDeleted()})
 	}
 	return entries
 }
@@ -142,30 +145,37 @@
 	if err := wire.Decode(payload, &req); err != nil {
 		return nil, err
 	}
+	revision := d.revision.Load()
+	after := wire.DecodeRevision(req.GetEraPlus_1(), req.GetAfter(), revision)
 	if req.GetAddr() != "" {
 		// Other nodes still send requests to the address of a restarted node, so it
 		// learns from them where a higher revision is available.
-		d.ObserveRevision(req.GetAddr(), req.GetAfter())
+		d.ObserveRevision(req.GetAddr(), after)
 	}
-	reply := &wire.StateReply{Revision: d.revision.Load(), AgeMs: uint32(d.storeAge().Milliseconds())}
-	if reply.Revision <= req.GetAfter() {
-		reply.Unknown = reply.Revision == 0
+	reply := &wire.StateReply{AgeMs: uint32(d.storeAge().Milliseconds())}
+	reply.EraPlus_1, reply.Revision = wire.EncodeRevision(revision)
+	if revision <= after {
+		reply.Unknown = revision == 0
 		return wire.Encode(reply), nil
 	}
-	ran := d.k.Control.Do(func() {
-		entries, whole := d.table.Since(req.GetAfter())
-		reply.Revision = d.table.Revision()
-		reply.Whole = whole
-		for _, e := range entries {
-			reply.Entries = append(reply.Entries, &wire.StateEntry{Key: e.Key, Revision: e.Revision, Value: e.Value, Deleted: e.Deleted})
-		}
-	})
-	if !ran {
+	if !d.k.Control.Do(func() { d.addState(reply, after) }) {
 		return nil, errs.New(errs.Unavailable, "ask another node", "this node has stopped")
 	}
 	return wire.Encode(reply), nil
 }
 
+// addState adds the entries after a revision to a reply. All entries of the table have
+// its era. It runs on the control goroutine.
+func (d *directory) addState(reply *wire.StateReply, after uint64) {
+	entries, whole := d.table.Since(after)
+	reply.EraPlus_1, reply.Revision = wire.EncodeRevision(d.table.Revision())
+	reply.Whole = whole
+	for _, e := range entries {
+		_, counter := store.SplitRevision(e.Revision)
+		reply.Entries = append(reply.Entries, &wire.StateEntry{Key: e.Key, Revision: counter, Value: e.Value, Deleted: e.Deleted})
+	}
+}
+
 // failingMembers holds the members that recently did not answer. It is safe for
 // concurrent use.
 type failingMembers struct {
--- a/plugin/peer/client.go
+++ b/plugin/peer/client.go
@@ -21,7 +21,7 @@
 // Call implements kernel.Transport. It returns when the head of the answer has arrived
 // or the attempt is lost.
 func (p *pool) Call(ctx context.Context, addr string, a *kernel.Attempt) (*kernel.Answer, error) {
-	a.Head.StateRevision = p.replica.Revision()
+	a.Head.StateEraPlus_1, a.Head.StateRevision = wire.EncodeRevision(p.replica.Revision())
 	st, s, err := p.openStream(ctx, addr)
 	if err != nil {
 		return nil, err
@@ -43,7 +43,7 @@
 		r.Close()
 		return lostAnswer(ctx, err), nil
 	}
-	p.replica.ObserveRevision(addr, head.GetStateRevision())
+	p.replica.ObserveRevision(addr, wire.DecodeRevision(head.GetStateEraPlus_1(), head.GetStateRevision(), p.replica.Revision()))
 	ans, err := r.decodeAnswer(head)
 	if err != nil {
 		r.Close()
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -244,7 +244,7 @@
 
 func (w *answerWriter) writeHead(h *wire.AnswerHead) error {
 	w.headSent = true
-	h.StateRevision = w.revision
+	h.StateEraPlus_1, h.StateRevision = wire.EncodeRevision(w.revision)
 	return w.send(&wire.AnswerFrame{Kind: &wire.AnswerFrame_Head{Head: h}})
 }
 
--- a/profile/record.go
+++ b/profile/record.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -95,6 +96,32 @@
 	return value, nil
 }
 
+// Supersedes reports whether the record value held is a later one of the same key than
+// the value other, so that other must be the value of an older copy of the store. An
+// empty value stands for an absent key. A value that cannot be read supersedes none, and
+// is superseded by any other.
+func Supersedes(key string, held, other []byte) bool {
+	h, err := DecodeRecord(key, held)
+	if err != nil {
+		return false
+	}
+	o, err := DecodeRecord(key, other)
+	if err != nil {
+		return true
+	}
+	switch {
+	case h.Change.ID == o.Change.ID, hasChange(o.History, h.Change.ID):
+		return false
+	case hasChange(h.History, o.Change.ID):
+		return true
+	}
+	return h.Change.Time.After(o.Change.Time) // the histories no longer overlap
+}
+
+func hasChange(history []Change, id uuid.UUID) bool {
+	return slices.ContainsFunc(history, func(c Change) bool { return c.ID == id })
+}
+
 // publisherFields are the fields of a record that only publishers need.
 var publisherFields = []string{"history", "previous", "owners", "proposed", "deleting"}
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -37,7 +37,8 @@
 }
 
 // Replace replaces the table with the full state as of a revision and returns the
-// entries that changed. A state older than the table is ignored.
+// entries that changed. A state older than the table is ignored. The state of a newer
+// era replaces every entry, because a restored store gives out revisions again.
 func (t *Table) Replace(entries []store.Entry, revision uint64) []store.Entry {
 	if revision < t.revision || revision == 0 {
 		return nil
@@ -60,11 +61,19 @@
 	return changes
 }
 
-// Apply applies the changes up to a revision and returns those that were new.
+// Apply applies the changes up to a revision and returns those that were new. Changes
+// up to the revision of the table are ignored, because a key that they set may have been
+// deleted since, of which a full state says nothing. Changes of another era than that
+// of the table are ignored too: only a full state leads from one era to the next.
 func (t *Table) Apply(events []store.Entry, revision uint64) []store.Entry {
+	if store.Era(revision) != store.Era(t.revision) {
+		return nil
+	}
 	var changes []store.Entry
 	for _, e := range events {
-		changes = t.applyEntry(changes, e)
+		if e.Revision > t.revision {
+			changes = t.applyEntry(changes, e)
+		}
 	}
 	t.revision = max(t.revision, revision)
 	return changes
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -119,6 +119,21 @@
 	}
 }
 
+// TestLateChangesDoNotReviveDeletedKeys applies the answer to a request for changes
+// after a newer full state has arrived. A key that was created and deleted in between
+// must stay deleted.
+func TestLateChangesDoNotReviveDeletedKeys(t *testing.T) {
+	tab := New()
+	tab.Replace(nil, 5)
+	tab.Replace(nil, 9) // the key existed from revision 6 to 8
+	if changes := tab.Apply([]store.Entry{{Key: "a", Revision: 6, Value: []byte("x")}}, 7); changes != nil {
+		t.Fatalf("late changes were applied: %v", changes)
+	}
+	if e, ok := tab.Get("a"); ok {
+		t.Fatalf("the deleted key is back: %+v", e)
+	}
+}
+
 func TestNodeThatLagsTooFarGetsFullState(t *testing.T) {
 	tab := New()
 	tab.Replace(nil, 1)
@@ -133,3 +148,80 @@
 		t.Fatal("the whole state was returned to a node that lags a little")
 	}
 }
+
+// TestTablesFollowARestoredStore follows a store that is restored from older copies and
+// gives out revisions again with other contents. Tables get lists and changes of any
+// era, also late ones, and updates from each other. A table must equal the store as of
+// its revision, whose order is by era first, and must reach the last era.
+func TestTablesFollowARestoredStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		eras := drawEras(t)
+		tables := []*Table{New(), New(), New()}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			to := tables[rapid.IntRange(0, 2).Draw(t, "to")]
+			before := to.Revision()
+			era := rapid.IntRange(0, len(eras)-1).Draw(t, "era")
+			h := eras[era]
+			revision := h[rapid.IntRange(0, len(h)-1).Draw(t, "change")].Revision
+			switch rapid.SampledFrom([]string{"list", "watch", "late watch", "peer"}).Draw(t, "source") {
+			case "list":
+				to.Replace(entryList(h.at(revision)), revision)
+			case "watch":
+				if store.Era(before) == uint64(era) && before > 0 && revision > before {
+					to.Apply(h.between(before, revision), revision)
+				}
+			case "late watch": // from an earlier revision of the same or of an earlier era
+				after := h[0].Revision
+				if after <= before && revision > after {
+					to.Apply(h.between(after, revision), revision)
+				}
+			case "peer":
+				from := tables[rapid.IntRange(0, 2).Draw(t, "from")]
+				if from.Revision() == 0 || from.Revision() < before {
+					break
+				}
+				entries, full := from.Since(before)
+				if full {
+					to.Replace(entries, from.Revision())
+				} else {
+					to.Apply(entries, from.Revision())
+				}
+			}
+			if to.Revision() < before {
+				t.Fatalf("revision decreased from %d to %d", before, to.Revision())
+			}
+			if to.Revision() == 0 {
+				continue
+			}
+			if diff := cmp.Diff(eras[store.Era(to.Revision())].at(to.Revision()), to.entries); diff != "" {
+				t.Fatalf("table at %d differs from the store: %s", to.Revision(), diff)
+			}
+		}
+	})
+}
+
+// drawEras returns the history of the store in each era. Every era begins with a copy
+// of the one before as of an earlier revision; its further changes differ.
+func drawEras(t *rapid.T) []history {
+	eras := []history{drawHistory(t)}
+	for era := 1; era < rapid.IntRange(2, 4).Draw(t, "eras"); era++ {
+		last := eras[era-1]
+		var h history
+		for _, e := range last[:rapid.IntRange(1, len(last)).Draw(t, "kept")] {
+			_, counter := store.SplitRevision(e.Revision)
+			e.Revision = store.JoinRevision(uint64(era), counter)
+			h = append(h, e)
+		}
+		_, counter := store.SplitRevision(h[len(h)-1].Revision)
+		for _, e := range drawHistory(t) {
+			_, step := store.SplitRevision(e.Revision)
+			e.Revision = store.JoinRevision(uint64(era), counter+step)
+			if !e.Deleted {
+				e.Value = []byte{byte(era), byte(step)}
+			}
+			h = append(h, e)
+		}
+		eras = append(eras, h)
+	}
+	return eras
+}
--- a/store/store.go
+++ b/store/store.go
@@ -11,7 +11,7 @@
 type Entry struct {
 	Key      string
 	Value    []byte
-	Revision uint64 // revision of the last change
+	Revision uint64 // revision of the last change, see JoinRevision
 	Lease    string // "" for a key without a lease
 	Deleted  bool   // the key was deleted at Revision; only set by Watch
 }
@@ -20,6 +20,10 @@
 // leases and watches. Unless stated otherwise, an error is of kind errs.Unavailable if
 // nothing was changed, and of kind errs.Unknown if a write may have taken effect or
 // may still do so.
+//
+// After the store was restored from an older copy, revisions and leases from before
+// are not used against it: a compare-and-swap that expects one fails with
+// errs.Conflict, a watch after one with errs.Gone, and the leases count as ended.
 type Store interface {
 	// Get returns the entry of a key, or an error of kind errs.NotFound.
 	Get(ctx context.Context, key string) (Entry, error)
