--- a/routing/config.go
+++ b/routing/config.go
@@ -152,6 +152,12 @@
 	// which its ratio of refusals does not throttle.
 	ThrottleMinRequests float64
 
+	// BusyLoad is the load, as a fraction of its concurrency limit, from which a member
+	// whose backend server refuses calls counts as overloaded. A lower value spares
+	// servers that can do less than their limit says, and refuses more calls that
+	// would have been served.
+	BusyLoad float64
+
 	// RecoveryForget is the fraction of the counted refusals that an answer from a
 	// member without a queue removes from the window. A higher value recovers sooner,
 	// but a single idle member distorts it more.
@@ -207,6 +213,7 @@
 		ThrottleWindow:      time.Second,
 		ThrottleFactor:      1.25,
 		ThrottleMinRequests: 5,
+		BusyLoad:            0.5,
 		RecoveryForget:      0.3,
 		ProbeInterval:       200 * time.Millisecond,
 		RetryAfter:          time.Second,
--- a/routing/sim_test.go
+++ b/routing/sim_test.go
@@ -311,3 +311,25 @@
 		}
 	}
 }
+
+// TestServersThatShedWithoutLoadGetAllCalls replays servers that all refuse 55 of 100
+// calls at random with most of their slots free, whatever the calls of each node. The
+// throttle must not refuse calls of which almost half would be served.
+func TestServersThatShedWithoutLoadGetAllCalls(t *testing.T) {
+	for _, perSecond := range []float64{30, 100, 300} {
+		sim := newSimulator(8, DefaultConfig())
+		for _, s := range sim.add(6, "a") {
+			s.behaviour = shedsMost
+			s.limit = 11
+			s.service = 30 * time.Millisecond
+		}
+		offered := 0
+		sim.onResult = func(call.Priority, call.Result) { offered++ }
+		sim.run(10*time.Second, normalLoad(perSecond))
+		sent, _ := sim.takeCallCounts()
+		t.Logf("%v calls a second and node: %d of %d sent", perSecond, sent, offered)
+		if sent*100 < offered*95 {
+			t.Errorf("%v calls a second and node: %d of %d were sent to servers with free slots", perSecond, sent, offered)
+		}
+	}
+}
--- a/routing/simulator_test.go
+++ b/routing/simulator_test.go
@@ -29,6 +29,7 @@
 	failsHalf // of the calls, after the normal service time
 	failsMost // nine of ten calls, after the normal service time
 	noAnswer
+	shedsMost // refuses 55 of 100 calls at once, whatever its load
 )
 
 // server simulates a member. Calls beyond its limit slow it down, and it refuses the
@@ -162,6 +163,8 @@
 		sim.schedule(roundTrip, func() { done(call.Result{Outcome: call.Answered, Status: 500}) })
 	case s.behaviour == noAnswer:
 		sim.schedule(250*time.Millisecond, func() { done(call.Result{Outcome: call.Unknown, Reason: call.ReasonConnLost}) })
+	case s.behaviour == shedsMost && sim.rng.IntN(100) < 55:
+		sim.schedule(roundTrip, func() { done(call.Result{Outcome: call.Refused, Reason: call.ReasonShed, Pressure: s.pressure()}) })
 	case float64(s.inFlight) >= admitLoad[p]*float64(s.limit):
 		s.refusals++
 		pressure := s.pressure()
--- a/routing/throttle.go
+++ b/routing/throttle.go
@@ -60,12 +60,22 @@
 func (t *throttle) recordFinished(cfg *Config, p call.Priority, res call.Result, now time.Time) {
 	switch classify(res) {
 	case signalRefused:
-		t.windows[priorityIndex(p)].add(cfg, 0, -1, now)
+		if !shedWithoutLoad(cfg, res) {
+			t.windows[priorityIndex(p)].add(cfg, 0, -1, now)
+		}
 	case signalSuccess:
 		t.recoverEarly(cfg, p, res.Pressure, now)
 	}
 }
 
+// shedWithoutLoad reports whether a backend server refused the call although less than
+// BusyLoad of its limit was in use. Fewer calls would not make such a server accept more
+// of them, so the refusal does not count against the service.
+func shedWithoutLoad(cfg *Config, res call.Result) bool {
+	p := res.Pressure
+	return res.Reason == call.ReasonShed && p.Limit > 0 && p.Queued == 0 && float64(p.InFlight) < cfg.BusyLoad*float64(p.Limit)
+}
+
 // recoverEarly forgets a fraction of the refusals after an answer from a member
 // that has no queue and admits the priority, so that the call rate recovers before
 // the refusals leave the window.
