--- a/admission/controller.go
+++ b/admission/controller.go
@@ -28,12 +28,25 @@
 	Class    string // class of the profile; latency is learned per class
 	Priority call.Priority
 	Deadline time.Time // an answer after it is useless to the caller
+	Cohort   uint32    // random number that all calls of one chain share
 	Data     any       // set and used by the owner only
 
 	state ticketState
 	seq   uint64
 }
 
+// cohortRankBits is the number of high bits of a cohort that order the calls of one
+// priority. With few ranks more calls of one chain are separated, with many the deadline
+// decides less often.
+const cohortRankBits = 4
+
+// rank returns the rank of the chain of t; lower ones go first. A request usually needs
+// several calls, all of which must succeed. Under overload, the same order of chains at
+// every backend server serves some chains wholly, where an order by deadline alone
+// refuses some calls of each: with half of the calls refused at random, a chain of four
+// succeeds once in 16 times.
+func (t *Ticket) rank() uint32 { return t.Cohort >> (32 - cohortRankBits) }
+
 // VerdictKind is the decision about an offered call.
 type VerdictKind uint8
 
@@ -217,6 +230,9 @@
 	if t.Priority != u.Priority {
 		return t.Priority < u.Priority
 	}
+	if t.rank() != u.rank() {
+		return t.rank() < u.rank()
+	}
 	return t.Deadline.Before(u.Deadline)
 }
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,13 +1,14 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 )
 
-// queue is a bounded queue ordered by priority, then by earliest deadline, then
-// by arrival. Each priority has a sorted slice: with some hundred entries, an
+// queue is a bounded queue ordered by priority, then by rank of the chain, then by
+// earliest deadline, then by arrival. Each priority has a sorted slice: with some hundred entries, an
 // insertion by binary search is cheaper than a heap that must also find its last
 // element.
 type queue struct {
@@ -29,7 +30,7 @@
 // compare orders tickets within one level.
 func (q *queue) compare(a, b *Ticket) int {
 	if !q.fifo {
-		if c := a.Deadline.Compare(b.Deadline); c != 0 {
+		if c := cmp.Or(cmp.Compare(a.rank(), b.rank()), a.Deadline.Compare(b.Deadline)); c != 0 {
 			return c
 		}
 	}
@@ -100,7 +101,7 @@
 
 // countAhead returns the number of queued tickets that would start before t.
 func (q *queue) countAhead(t *Ticket) int {
-	key := Ticket{Deadline: t.Deadline, seq: q.seq + 1}
+	key := Ticket{Deadline: t.Deadline, Cohort: t.Cohort, seq: q.seq + 1}
 	l := q.level(t.Priority)
 	n, _ := slices.BinarySearchFunc(q.byPriority[l], &key, q.compare)
 	for _, s := range q.byPriority[:l] {
--- a/call/call.go
+++ b/call/call.go
@@ -123,7 +123,7 @@
 	Depth      int           // number of hops from the first node
 	RequestID  string        // ID that the caller gave this call; "" if none
 	Origin     string        // service beside the node where the call was made
-	Cohort     uint32        // hash for log sampling, the same for all calls of the chain
+	Cohort     uint32        // hash for log sampling and for the order of chains under overload, the same for all calls of the chain
 	Repeat     bool          // an earlier attempt of the chain may have been executed
 	Objective  time.Duration // latency objective, within which an answer is worth most; 0 if not set
 	MaxSends   int           // backend servers that may receive the call; 0 leaves the limit to the retry allowance
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -119,7 +119,7 @@
 	a.controller = t.controller
 	a.ticket = &admission.Ticket{
 		Class: a.head.GetClass(), Priority: call.Priority(min(a.head.GetPriority(), call.NumPriorities-1)),
-		Deadline: a.deadline, Data: a.decided,
+		Deadline: a.deadline, Cohort: a.head.GetCohort(), Data: a.decided,
 	}
 	verdict, displaced := a.controller.Offer(a.ticket, now)
 	t.deliver(displaced)
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -13,6 +13,9 @@
 	Priority call.Priority
 	Deadline time.Time // zero if there is none
 	Exclude  []string  // nodes that were already tried
+	// Cohort is a random number that all calls of one chain share, 0 if there is none.
+	// The throttle refuses the chains with the highest ones.
+	Cohort uint32
 	// AnyRegion is set after a member refused the call because of its deadline or
 	// for lack of capacity. Pick then selects, in any region, the member that is
 	// expected to answer first, and refuses the call if no member has capacity.
@@ -63,7 +66,7 @@
 	if p.empty() {
 		return r.refuse(call.ReasonNoMember)
 	}
-	if r.throttle.shouldRefuse(&r.cfg, q.Priority, r.rng, now) {
+	if r.throttle.shouldRefuse(&r.cfg, q.Priority, q.Cohort, r.rng, now) {
 		r.throttle.recordRefused(&r.cfg, q.Priority, now)
 		return r.refuse(call.ReasonThrottled)
 	}
--- a/routing/throttle.go
+++ b/routing/throttle.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -31,11 +32,20 @@
 	return worst
 }
 
-// shouldRefuse decides at random whether a call is refused. About once per
-// ProbeInterval a call is let through, so that the end of the overload is noticed.
-func (t *throttle) shouldRefuse(cfg *Config, p call.Priority, rng *rand.Rand, now time.Time) bool {
+// shouldRefuse decides whether a call is refused: by the cohort of its chain, so that
+// the same chains are refused at every node and service, or at random without one. About
+// once per ProbeInterval a call is let through, so that the end of the overload is
+// noticed.
+func (t *throttle) shouldRefuse(cfg *Config, p call.Priority, cohort uint32, rng *rand.Rand, now time.Time) bool {
 	prob := t.probability(cfg, p, now)
-	if prob <= 0 || rng.Float64() >= prob {
+	if prob <= 0 {
+		return false
+	}
+	position := rng.Float64()
+	if cohort != 0 {
+		position = 1 - float64(cohort)/math.MaxUint32
+	}
+	if position >= prob {
 		return false
 	}
 	nextProbe := &t.nextProbe[priorityIndex(p)]
