--- a/admission/baseline.go
+++ b/admission/baseline.go
@@ -72,7 +72,7 @@
 		degreesOfFreedom += a.count + b.count - 2
 		covered += a.count
 	}
-	if weights < minWeight || expected <= 0 || float64(covered) < minCoverage*float64(s.count) {
+	if weights < minWeight || expected <= 0 || degreesOfFreedom <= 0 || float64(covered) < minCoverage*float64(s.count) {
 		return 1, false
 	}
 	margin := marginStdErrs * math.Sqrt(squares*deviations/float64(degreesOfFreedom))
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -104,6 +104,7 @@
 		}
 		t.known = true
 	}
+	t.endedBorn = max(t.endedBorn, born) // a late report of that start must not serve again
 	if t.ended {
 		return Renewed
 	}
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -125,3 +125,23 @@
 		}
 	}
 }
+
+// TestDepartureOfANewerStart checks that a late report of a start that has left, of which
+// no report had arrived before, does not serve again, and that the next start does.
+func TestDepartureOfANewerStart(t *testing.T) {
+	var tr Tracker
+	now := time.Unix(100, 0)
+	report := func(born, sequence int64) Change {
+		return tr.Apply(Report{Instance: "i", Born: born, Sequence: sequence, Service: "rates"}, now)
+	}
+	report(10, 1)
+	if change := tr.Leave("i", 20, now); change != Ended {
+		t.Fatalf("departure: %v", change)
+	}
+	if change := report(20, 5); change == Started || tr.Serving() {
+		t.Errorf("late report of the start that left: %v, serving %t", change, tr.Serving())
+	}
+	if change := report(30, 1); change != Started || !tr.Serving() {
+		t.Errorf("report of the next start: %v, serving %t", change, tr.Serving())
+	}
+}
--- a/plugin/directory/restore_test.go
+++ b/plugin/directory/restore_test.go
@@ -109,7 +109,7 @@
 		key := fmt.Sprint("x/", round)
 		value := lastValue(nodes[2], key)
 		writeKey(t, url, key, []byte("after"))
-waitFor(t, "change after the restoration", 3*time.Second, func() bool { return value() == "after" })
+		waitFor(t, "change after the restoration", 3*time.Second, func() bool { return value() == "after" })
 	}
 	writeKey(t, url, "profiles/calm", versions[3])
 	waitFor(t, "later change of the profile", 3*time.Second, everywhere(func(n *testNode) bool { return retries(n, "rates") == 4 }))
--- a/plugin/peer/frame.go
+++ b/plugin/peer/frame.go
@@ -2,8 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
+	"net"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
@@ -20,16 +23,31 @@
 var frameOptions = protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
 
 // readMessage reads one length-prefixed message. It returns io.ErrUnexpectedEOF if
-// the stream ends before the message, and an error of kind errs.Invalid if reading
-// fails in any other way.
+// the stream ends before the end of the message, the error of the connection if that is
+// lost, and an error of kind errs.Invalid for a malformed message.
 func readMessage(r *bufio.Reader, m proto.Message) error {
-	if err := frameOptions.UnmarshalFrom(r, m); err != nil {
-		if err == io.EOF {
-			return io.ErrUnexpectedEOF
+	err := frameOptions.UnmarshalFrom(r, m)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, io.EOF):
+		return io.ErrUnexpectedEOF
+	case isConnectionError(err):
+		return err
+	}
+	return errs.Wrap(err, errs.Invalid, "check that both nodes speak the node protocol", "malformed frame")
+}
+
+// isConnectionError reports whether err comes from the stream or its connection rather
+// than from what was read.
+func isConnectionError(err error) bool {
+	for _, lost := range []error{io.ErrUnexpectedEOF, yamux.ErrConnectionReset, yamux.ErrSessionShutdown, yamux.ErrStreamClosed} {
+		if errors.Is(err, lost) {
+			return true
 		}
-		return errs.Wrap(err, errs.Invalid, "check that both nodes speak the node protocol", "malformed frame")
 	}
-	return nil
+	var netErr net.Error // also deadlines of yamux
+	return errors.As(err, &netErr)
 }
 
 // appendMessage appends a length-prefixed message to buf.
--- a/plugin/peer/frame_test.go
+++ b/plugin/peer/frame_test.go
@@ -5,15 +5,20 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
+	"testing/iotest"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"pgregory.net/rapid"
 
 	"github.com/dogwoodhatch/dogwoodhatch/bufpool"
 	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
@@ -114,3 +119,32 @@
 		}
 	}
 }
+
+// TestLostConnectionIsNotAMalformedFrame checks the error for a connection that is lost
+// while a message is read. Only a lost connection makes the caller withdraw its attempt.
+func TestLostConnectionIsNotAMalformedFrame(t *testing.T) {
+	frame, err := appendMessage(nil, &wire.AnswerFrame{Kind: &wire.AnswerFrame_Head{Head: &wire.AnswerHead{Reason: "x"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		data    []byte
+		end     error
+		invalid bool
+	}{
+		"closed before the frame": {nil, io.EOF, false},
+		"closed inside the frame": {frame[:len(frame)-1], io.EOF, false},
+		"reset before the frame":  {nil, yamux.ErrConnectionReset, false},
+		"reset inside the frame":  {frame[:2], yamux.ErrConnectionReset, false},
+		"reset by the kernel":     {frame[:2], &net.OpError{Op: "read", Err: syscall.ECONNRESET}, false},
+		"deadline":                {frame[:2], yamux.ErrTimeout, false},
+		"malformed":               {[]byte{3, 0xff, 0xff, 0xff}, io.EOF, true},
+		"too large":               {[]byte{0xff, 0xff, 0xff, 0xff, 0x7f}, io.EOF, true},
+	} {
+		r := bufio.NewReader(io.MultiReader(bytes.NewReader(c.data), iotest.ErrReader(c.end)))
+		err := readMessage(r, &wire.AnswerFrame{})
+		if err == nil || (errs.KindOf(err) == errs.Invalid) != c.invalid {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
