--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -243,3 +243,61 @@
 		t.Errorf("%d calls in an outage of 10 s", calls)
 	}
 }
+
+// TestWatchersAreTheFirstInRank compares Watchers with Rank.
+func TestWatchersAreTheFirstInRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Member
+		for i := range rapid.IntRange(0, 30).Draw(t, "nodes") {
+			all = append(all, Member{ID: fmt.Sprint("n", i), Region: fmt.Sprint("r", i%3), State: rapid.SampledFrom([]State{Alive, Lapsed}).Draw(t, "state")})
+		}
+		cfg := DefaultWatchConfig()
+		cfg.PerRegion = rapid.IntRange(1, 4).Draw(t, "per region")
+		want := map[string]bool{}
+		for _, m := range all {
+			if m.Region == "r1" && m.State == Alive && Rank(all, m.Region, m.ID) < cfg.PerRegion {
+				want[m.ID] = true
+			}
+		}
+		got := cfg.Watchers(all, "r1")
+		for _, m := range got {
+			if !want[m.ID] {
+				t.Fatalf("%s is not among the first %d", m.ID, cfg.PerRegion)
+			}
+		}
+		if len(got) != len(want) {
+			t.Fatalf("%d watchers, want %d", len(got), len(want))
+		}
+	})
+}
+
+// TestComparisonsStayInTheRegion checks that state is compared across regions only when
+// nobody is known to hear from the store, or when the region has no other member.
+func TestComparisonsStayInTheRegion(t *testing.T) {
+	cfg := DefaultWatchConfig()
+	var all []Member
+	for i := range 30 {
+		all = append(all, Member{ID: fmt.Sprint("n", i), Region: fmt.Sprint("r", i%3), State: Alive})
+	}
+	regions := func(members []Member, self, region string, age time.Duration) map[string]bool {
+		seen := map[string]bool{}
+		for round := range 2 {
+			for _, m := range cfg.SyncPartners(members, self, region, round, age) {
+				if m.ID == self {
+					t.Errorf("the node is its own partner")
+				}
+				seen[m.Region] = true
+			}
+		}
+		return seen
+	}
+	if got := regions(all, "n0", "r0", time.Second); len(got) != 1 || !got["r0"] {
+		t.Errorf("fresh state: partners in %v, want only r0", got)
+	}
+	if got := regions(all, "n0", "r0", cfg.StaleAfter+time.Millisecond); len(got) != 3 {
+		t.Errorf("stale state: partners in %v, want all regions", got)
+	}
+	if got := regions(append(all, Member{ID: "alone", Region: "r9", State: Alive}), "alone", "r9", time.Second); len(got) != 3 {
+		t.Errorf("the only member of its region: partners in %v, want the other regions", got)
+	}
+}
--- a/plugin/directory/sync.go
+++ b/plugin/directory/sync.go
@@ -76,28 +76,14 @@
 	}
 }
 
-// syncPartner selects a member to compare with: on even rounds a random watcher of
-// the own region if there is one, otherwise any random member.
+// syncPartner selects a random member to compare with.
 func (d *directory) syncPartner(round int) (membership.Member, bool) {
-	now := time.Now()
-	all := d.failing.filterHealthy(d.All(), now)
-	var watchers, others []membership.Member
-	for _, m := range all {
-		if m.ID == d.self.ID {
-			continue
-		}
-		others = append(others, m)
-		if m.Region == d.self.Region && membership.Rank(all, m.Region, m.ID) < membership.DefaultWatchConfig().PerRegion {
-			watchers = append(watchers, m)
-		}
-	}
-	if round%2 == 0 && len(watchers) > 0 {
-		return watchers[rand.IntN(len(watchers))], true
-	}
-	if len(others) == 0 {
+	healthy := d.failing.filterHealthy(d.All(), time.Now())
+	partners := membership.DefaultWatchConfig().SyncPartners(healthy, d.self.ID, d.self.Region, round, d.storeAge())
+	if len(partners) == 0 {
 		return membership.Member{}, false
 	}
-	return others[rand.IntN(len(others))], true
+	return partners[rand.IntN(len(partners))], true
 }
 
 // pullState fetches the changes after the own revision from another node. id is ""
