--- a/admission/queue.go
+++ b/admission/queue.go
@@ -8,9 +8,9 @@
 )
 
 // queue is a bounded queue ordered by priority, then by rank of the chain, then by
-// earliest deadline, then by arrival. Each priority has a sorted slice: with some hundred entries, an
-// insertion by binary search is cheaper than a heap that must also find its last
-// element.
+// earliest deadline, then by arrival. Each priority has a sorted slice: with some hundred
+// entries, an insertion by binary search is cheaper than a heap that must also find its
+// last element.
 type queue struct {
 	limit      int
 	fifo       bool
--- a/plugin/directory/restore.go
+++ b/plugin/directory/restore.go
@@ -8,6 +8,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
+	"github.com/dogwoodhatch/dogwoodhatch/replica"
 	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
@@ -19,20 +20,19 @@
 // that watch the store write them again.
 type lostRecords map[string]store.Entry
 
-// note compares the records before and after a restoration.
-func (l lostRecords) note(before []store.Entry, table recordReader) {
+// note compares the records before and after a restoration. A record that was lost in
+// an earlier restoration and is not written again yet may be later than both.
+func (l lostRecords) note(before []store.Entry, table *replica.Table) {
 	for _, e := range before {
-		if now, _ := table.Get(e.Key); isOperatorRecord(e.Key) && profile.Supersedes(e.Key, e.Value, now.Value) {
+		if !isOperatorRecord(e.Key) || profile.Supersedes(e.Key, l[e.Key].Value, e.Value) {
+			continue
+		}
+		if now, _ := table.Get(e.Key); profile.Supersedes(e.Key, e.Value, now.Value) {
 			l[e.Key] = e
 		}
 	}
 }
 
-// recordReader reads entries of a replica.Table.
-type recordReader interface {
-	Get(key string) (store.Entry, bool)
-}
-
 // supersedes reports whether a lost record is later than the entry e. If it is not, it
 // needs no restoration any more.
 func (l lostRecords) supersedes(e store.Entry) bool {
--- a/plugin/directory/restore_test.go
+++ b/plugin/directory/restore_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/platform/kv"
 	"github.com/dogwoodhatch/dogwoodhatch/platform/kv/standin"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
+	"github.com/dogwoodhatch/dogwoodhatch/replica"
 	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
@@ -115,6 +117,31 @@
 	waitFor(t, "later change of the profile", 3*time.Second, everywhere(func(n *testNode) bool { return retries(n, "rates") == 4 }))
 }
 
+// TestSecondRestorationKeepsTheLatestRecord restores the store a second time before the
+// records lost in the first one are written again.
+func TestSecondRestorationKeepsTheLatestRecord(t *testing.T) {
+	const key = "profiles/calm"
+	versions := profileVersions(t, "calm", 3)
+	entry := func(era uint64, version int) store.Entry {
+		return store.Entry{Key: key, Value: versions[version], Revision: store.JoinRevision(era, uint64(10+version))}
+	}
+	lost, table := lostRecords{}, replica.New()
+	for era, restored := range []int{2, 1, 0} {
+		before, _ := table.Since(0)
+		table.Replace([]store.Entry{entry(uint64(era), restored)}, store.JoinRevision(uint64(era), 20))
+		lost.note(before, table)
+		if older := entry(uint64(era), restored); era > 0 && !lost.supersedes(older) {
+			t.Errorf("era %d: version %d of the copy counts as the latest", era, restored)
+		}
+	}
+	if !bytes.Equal(lost[key].Value, versions[2]) {
+		t.Errorf("the record to write again is %s", lost[key].Value)
+	}
+	if lost.supersedes(entry(3, 2)) || len(lost) != 0 {
+		t.Errorf("still lost after it was written again: %v", lost)
+	}
+}
+
 // checkAlways checks a condition each few milliseconds until the returned function is
 // called.
 func checkAlways(t *testing.T, condition string, ok func() bool) (stop func()) {
