--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -25,8 +25,7 @@
 	// longer body costs more than a new connection.
 	maxSkippedBytes = 256 << 10
 	// maxHeadBytes bounds the bytes read before the head of a response is complete,
-	// interim responses included. It is the limit that net/http's client uses by
-	// default divided by 16, because a node holds many heads at once.
+	// interim responses included. A node holds the heads of many calls at once.
 	maxHeadBytes = 64 << 10
 	// maxSyncWriteBytes is the largest body that is written before the response is
 	// read. A larger body is written in the background, because the response may
