--- a/membership/partners.go
+++ b/membership/partners.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,34 +10,23 @@
 
 // Watchers returns the members of a region that watch the store because they rank first.
 func (c WatchConfig) Watchers(members []Member, region string) []Member {
-	type ranked struct {
-		hash   uint64
-		member *Member
-	}
-	var first []ranked // ordered by hash, at most PerRegion
-	for i := range members {
-		m := &members[i]
+	var first []Member // in order of rank, at most PerRegion
+	for _, m := range members {
 		if m.Region != region || m.State != Alive {
 			continue
 		}
-		r := ranked{xxhash.Sum64String(m.ID), m}
-		at, _ := slices.BinarySearchFunc(first, r, func(a, b ranked) int {
-			if a.hash < b.hash {
-				return -1
-			}
-			return 1
-		})
-		if at >= c.PerRegion {
-			continue
+		at, _ := slices.BinarySearchFunc(first, m, compareRanks)
+		if at < c.PerRegion {
+			first = slices.Insert(first, at, m)
+			first = first[:min(len(first), c.PerRegion)]
 		}
-		first = slices.Insert(first, at, r)
-		first = first[:min(len(first), c.PerRegion)]
 	}
-	watchers := make([]Member, 0, len(first))
-	for _, r := range first {
-		watchers = append(watchers, *r.member)
-	}
-	return watchers
+	return first
+}
+
+// compareRanks orders members of a region as Rank does.
+func compareRanks(a, b Member) int {
+	return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
 }
 
 // SyncPartners returns the members among which a node chooses the one to compare its
@@ -46,24 +36,34 @@
 // StaleAfter, as far as the node knows, or if there are no others. self is the ID of the
 // node, and age the time since the store is last known to have answered.
 func (c WatchConfig) SyncPartners(members []Member, self, region string, round int, age time.Duration) []Member {
-	others := func(list []Member, inRegion bool) []Member {
-		var out []Member
-		for _, m := range list {
-			if m.ID != self && (!inRegion || m.Region == region) {
-				out = append(out, m)
-			}
-		}
-		return out
-	}
 	if round%2 == 0 {
-		if watchers := others(c.Watchers(members, region), true); len(watchers) > 0 {
+		if watchers := without(self, c.Watchers(members, region)); len(watchers) > 0 {
 			return watchers
 		}
 	}
-	if age <= c.StaleAfter {
-		if near := others(members, true); len(near) > 0 {
-			return near
+	others := without(self, members)
+	if age > c.StaleAfter {
+		return others
+	}
+	var near []Member
+	for _, m := range others {
+		if m.Region == region {
+			near = append(near, m)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return others
+}
+
+// without returns the members other than the one with an ID.
+func without(id string, members []Member) []Member {
+	var others []Member
+	for _, m := range members {
+		if m.ID != id {
+			others = append(others, m)
 		}
 	}
-	return others(members, false)
+	return others
 }
