--- a/membership/watchers.go
+++ b/membership/watchers.go
@@ -19,8 +19,8 @@
 	// their state.
 	StaleAfter time.Duration
 
-	// RankDelay is added to StaleAfter for each node that ranks before this one, so
-	// that few nodes of a region call a store that answers nobody. With a shorter
+	// RankDelay is added to StaleAfter for each node that ranks between the watchers and
+	// this one, so that few nodes of a region call a store that answers nobody. With a shorter
 	// delay, a region whose watchers were turned away by the store, and which no other
 	// region tells of changes, learns of them sooner.
 	RankDelay time.Duration
@@ -41,7 +41,7 @@
 
 // DefaultWatchConfig returns settings for changes that must be in force within 2.5 s.
 func DefaultWatchConfig() WatchConfig {
-	return WatchConfig{PerRegion: 1, StaleAfter: 1600 * time.Millisecond, RankDelay: 600 * time.Millisecond, GatherDelay: 100 * time.Millisecond, AloneDelay: 2 * time.Second}
+	return WatchConfig{PerRegion: 1, StaleAfter: 1600 * time.Millisecond, RankDelay: 700 * time.Millisecond, GatherDelay: 100 * time.Millisecond, AloneDelay: 2 * time.Second}
 }
 
 // Rank returns the number of live members of the region that precede the node id in
@@ -71,5 +71,5 @@
 	if rank < c.PerRegion {
 		return true
 	}
-	return now.Sub(lastAnswer) > c.StaleAfter+time.Duration(rank)*c.RankDelay
+	return now.Sub(lastAnswer) > c.StaleAfter+time.Duration(rank-c.PerRegion)*c.RankDelay
 }
