target: log and count what backend servers announce in their answers

The adapter reads the limit and the notice of leaving; the target logs each change of the limit with the rate of starts, the calls running and the slots, and serves both as metrics.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -310,6 +310,9 @@
 	c.ramp.begin(&c.cfg, c.limiter.limit, now)
 }
 
+// StartsPerSecond returns the recent rate of starts.
+func (c *Controller) StartsPerSecond(now time.Time) float64 { return c.rates.startsPerSecond(now) }
+
 // Waiting returns the number of queued calls.
 func (c *Controller) Waiting() int { return c.queue.size }
 
--- a/admission/rates.go
+++ b/admission/rates.go
@@ -52,12 +52,17 @@
 // startedAbove returns the rate of starts more important than p, per second.
 func (r *rates) startedAbove(p call.Priority, now time.Time) float64 {
 	sum := 0.0
-	for i := range priorityIndex(p) {
+	for i := range min(int(p), call.NumPriorities) {
 		sum += r.started[i].perSecond(now)
 	}
 	return sum
 }
 
+// startsPerSecond returns the rate of starts of all priorities.
+func (r *rates) startsPerSecond(now time.Time) float64 {
+	return r.startedAbove(call.NumPriorities, now)
+}
+
 // countEnd counts the end of a call that was not canceled.
 func (r *rates) countEnd(s Sample, now time.Time) {
 	if s.Canceled {
--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -191,6 +191,8 @@
 	Leaving  bool          `json:"leaving"` // shutting down, or no backend server is served
 	Pressure call.Pressure `json:"pressure"`
 	Running  int           `json:"running"`
+
+	RateLimit call.RateLimit `json:"rate_limit"` // announced by the backend server
 }
 
 // Execution is a call that the backend server beside this node is executing.
@@ -248,6 +250,8 @@
 	OtherInstance bool        // a different start of a backend server now has the address and did not run the call
 	OtherRequest  bool        // the response belongs to a different request
 	Load          BackendLoad // zero if not reported
+	RateLimit     call.RateLimit
+	Leaving       bool // the backend server accepts no new calls
 }
 
 // BackendLoad is the load reported by a backend server, in calls.
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -13,6 +13,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/execution"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/membership"
 	"github.com/dogwoodhatch/dogwoodhatch/plugin/peer"
 	"github.com/dogwoodhatch/dogwoodhatch/retry"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
@@ -30,7 +31,8 @@
 	ticket     *admission.Ticket
 	decided    chan admission.Action
 	backend    kernel.BackendInfo
-	startedAt  time.Time // when the call was passed to the backend server
+	start      membership.BackendStart // of backend
+	startedAt  time.Time               // when the call was passed to the backend server
 }
 
 // Serve implements kernel.Target.
@@ -116,6 +118,7 @@
 		return refused(call.ReasonLeaving, 0), true
 	}
 	a.backend = t.backend
+	a.start = t.currentStart()
 	a.controller = t.controller
 	a.ticket = &admission.Ticket{
 		Class: a.head.GetClass(), Priority: call.Priority(min(a.head.GetPriority(), call.NumPriorities-1)),
@@ -198,6 +201,7 @@
 	if !t.registry.Start(a.id, a.startedAt) {
 		return "", false
 	}
+	t.started.Mark(1)
 	token := call.NewID().String()
 	chain := a.chainID()
 	exec := &kernel.Execution{
@@ -279,6 +283,7 @@
 		a.t.stopReplaced(a.backend)
 		return refused(call.ReasonMisdirected, 0), admission.Sample{Canceled: true}
 	}
+	a.observe(&resp.BackendReport)
 	if resp.NotRun {
 		return refused(call.ReasonShed, 0), admission.Sample{Shed: true}
 	}
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -29,8 +29,8 @@
 	k            *kernel.Kernel
 	log          *zap.Logger
 	cancel       context.CancelFunc
-	started      time.Time
 	callsWaiting chan struct{} // signals that the admission queue is not empty
+	started      metrics.Meter // calls sent to the backend server
 	answered     metrics.Meter
 	refused      metrics.Meter
 	unknown      metrics.Meter
@@ -44,6 +44,7 @@
 	serving               bool // a backend server has announced itself and was not withdrawn
 	leaving               bool
 	renewedAt             time.Time
+	rateTracker           lifecycle.RateTracker        // of the current start of the backend server
 	executions            map[string]*kernel.Execution // running executions by token
 	executionsByRequestID map[string]*kernel.Execution // running executions by the caller's request id
 	views                 *execution.ViewHistory
@@ -51,11 +52,10 @@
 }
 
 func newTarget(k *kernel.Kernel) *target {
-	now := time.Now()
 	t := &target{
 		k:                     k,
 		log:                   k.Log,
-		started:               now,
+		started:               metrics.GetOrRegisterMeter("target.started", k.Metrics),
 		callsWaiting:          make(chan struct{}, 1),
 		registry:              execution.NewRegistry(execution.DefaultRegistryConfig()),
 		claims:                execution.NewClaims(execution.DefaultClaimsConfig(), time.Time{}),
@@ -78,6 +78,7 @@
 	gauge("in_flight", func(s kernel.TargetStatus) int64 { return int64(s.Pressure.InFlight) })
 	gauge("queued", func(s kernel.TargetStatus) int64 { return int64(s.Pressure.Queued) })
 	gauge("queue_delay_us", func(s kernel.TargetStatus) int64 { return s.Pressure.QueueDelay.Microseconds() })
+	gauge("rate_limit_mrps", func(s kernel.TargetStatus) int64 { return s.RateLimit.Millis() })
 	gauge("service_time_us", func(s kernel.TargetStatus) int64 { return s.Pressure.ServiceTime.Microseconds() })
 }
 
@@ -177,6 +178,9 @@
 		t.log.Info("backend_report", zap.Stringer("change", change), zap.String("instance", r.Instance), zap.Int64("born", r.Born),
 			zap.Int64("sequence", r.Sequence), zap.String("service", r.Service), zap.Bool("draining", r.Draining), zap.Duration("cold", r.Cold))
 	}
+	if change == lifecycle.Started {
+		t.resetAnnouncements()
+	}
 	switch change {
 	case lifecycle.Started, lifecycle.Renewed:
 		if t.tracker.Serving() {
@@ -314,7 +318,7 @@
 func (t *target) Status() kernel.TargetStatus {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := kernel.TargetStatus{Backend: t.backend, Leaving: t.leaving || !t.serving, Running: len(t.executions)}
+	s := kernel.TargetStatus{Backend: t.backend, Leaving: t.leaving || !t.serving, Running: len(t.executions), RateLimit: t.rateTracker.Limit()}
 	if t.controller != nil {
 		s.Pressure = t.controller.Pressure(time.Now())
 	}
