Backend servers get no more requests per second than the limit that they announce

Cause: what backend servers say of themselves in answers was passed on and read by nobody, and the only bound on a member was one on concurrent calls, 26 to 35 of 151 in use while the rate was far above the limit. Class: a server's own statement of its capacity is ignored, and a bound of another dimension stands in for it.

Change: the target holds a token bucket with the announced rate, empty at first, in the admission controller, so that the queue's order by priority and chain decides which calls get the scarce rate, and predicted waits, refusals and Retry-After follow it. Sources learn the limit with the pressure of each answer: a member whose next start lies ahead counts as saturated, its refusals do not count as faults, and calls go to other regions without the budget for spilled calls. A target that was restarted is told by the nodes that passed the answers on.

Ruled out: shares of the rate for each source (unequal demand, nodes that are gone); bounding at the target alone.

With the bucket out, TestStartsStayWithinRateLimit fails; with refusals counted as faults, with exhausted members not saturated, or with the budget for spilled calls, one test of routing each.

--- a/admission/config.go
+++ b/admission/config.go
@@ -51,6 +51,10 @@
 	// critical is queued. Long queues absorb bursts but delay recovery.
 	MaxQueueDelay time.Duration
 
+	// MaxRateQueueDelay replaces a longer MaxQueueDelay while the backend server
+	// announces a rate limit. A long queue delays calls that other members could serve.
+	MaxRateQueueDelay time.Duration
+
 	// SlackFraction is the fraction of the slack (the time to the deadline less
 	// the expected service time) that the predicted wait may use. A low value
 	// refuses earlier, a value near 1 leaves no margin for prediction errors.
@@ -126,6 +130,7 @@
 		ProbeInterval:       5 * time.Second,
 		QueueLimit:          512,
 		MaxQueueDelay:       500 * time.Millisecond,
+		MaxRateQueueDelay:   100 * time.Millisecond,
 		SlackFraction:       0.6,
 		MinTimeLeftFraction: 1,
 		MinShare:            0.02,
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -103,6 +104,7 @@
 	latencies           *latencies
 	limiter             *limiter
 	ramp                ramp
+	startRate           startRate
 	queue               queue
 	rates               rates
 	inFlight            int
@@ -128,7 +130,7 @@
 	if reason := c.refusalReason(t, now); reason != call.ReasonNone {
 		return c.refuseNew(t, reason, now), nil
 	}
-	if c.queue.size == 0 && c.inFlight < c.limit(now) {
+	if c.queue.size == 0 && c.canStart(now) {
 		c.markRunning(t, now)
 		return Verdict{Kind: Run}, nil
 	}
@@ -142,7 +144,7 @@
 	}
 	t.state = stateQueued
 	c.queue.push(t)
-	c.limiter.observe(c.inFlight, c.queue.size, c.limit(now))
+	c.observeUse(now)
 	return c.extractVerdict(t, append(actions, c.dispatch(now)...))
 }
 
@@ -175,7 +177,7 @@
 	}
 	expected := c.latencies.expectedServiceTime(t.Class, now)
 	timeLeft := t.Deadline.Sub(now)
-	if c.inFlight < c.limit(now) && c.queue.size == 0 {
+	if c.canStart(now) && c.queue.size == 0 {
 		if timeLeft < time.Duration(c.cfg.MinTimeLeftFraction*float64(expected)) {
 			return call.ReasonDeadline
 		}
@@ -189,15 +191,15 @@
 	if wait > time.Duration(c.cfg.SlackFraction*float64(slack)) {
 		return call.ReasonDeadline
 	}
-	if t.Priority != call.PriorityCritical && wait > c.cfg.MaxQueueDelay {
+	if t.Priority != call.PriorityCritical && wait > c.startRate.maxQueueDelay(&c.cfg) {
 		return call.ReasonQueueFull
 	}
 	return call.ReasonNone
 }
 
-// throughput returns the expected completions per second at the current limit.
+// throughput returns the expected completions per second at the current limits.
 func (c *Controller) throughput(now time.Time) float64 {
-	return float64(c.limit(now)) / c.latencies.mean().Seconds()
+	return c.startRate.bound(float64(c.limit(now)) / c.latencies.mean().Seconds())
 }
 
 // expectedWait returns the expected time until n calls of priority p have left
@@ -242,7 +244,7 @@
 		return nil
 	}
 	t.state = stateDone
-	c.limiter.observe(c.inFlight, c.queue.size, c.limit(now))
+	c.observeUse(now)
 	c.inFlight--
 	c.rates.countEnd(s, now)
 	c.limiter.record(c.latencies.end(t.Class), s, now)
@@ -303,6 +305,13 @@
 	c.limiter.applySlotsHint(slots)
 }
 
+// SetRateLimit bounds the starts per second to the limit that the backend server
+// announces.
+func (c *Controller) SetRateLimit(l call.RateLimit, now time.Time) []Action {
+	c.startRate.set(l, now)
+	return c.dispatch(now)
+}
+
 // Restart records that the backend server has restarted cold: it discards the
 // latency baseline and starts a ramp.
 func (c *Controller) Restart(now time.Time) {
@@ -319,9 +328,10 @@
 // Pressure returns the current load.
 func (c *Controller) Pressure(now time.Time) call.Pressure {
 	p := c.rates.lowestAdmitted(now)
+	limit, inFlight := c.usableLimit(now)
 	return call.Pressure{
-		Limit:         c.limit(now),
-		InFlight:      c.inFlight,
+		Limit:         limit,
+		InFlight:      inFlight,
 		Queued:        c.queue.size,
 		AdmitPriority: p,
 		QueueDelay:    c.queueDelay(p, now),
@@ -330,15 +340,36 @@
 	}
 }
 
+// usableLimit returns the concurrency limit that callers can use and the part of it in
+// use. Under a rate limit, it is the number of calls in flight that the rate sustains
+// (Little's law), all in use while no call may start.
+func (c *Controller) usableLimit(now time.Time) (limit, inUse int) {
+	limit, inUse = c.limit(now), c.inFlight
+	if !c.startRate.limited {
+		return limit, inUse
+	}
+	sustained := c.startRate.bucket.PerSecond * c.latencies.mean().Seconds()
+	limit = min(limit, max(1, int(math.Ceil(sustained))))
+	if c.startRate.available(now) < 1 {
+		inUse = max(inUse, limit)
+	}
+	return limit, inUse
+}
+
 // queueDelay returns the expected wait of a new call of priority p.
 func (c *Controller) queueDelay(p call.Priority, now time.Time) time.Duration {
 	ahead := c.queue.countUpTo(p)
 	if ahead == 0 && c.inFlight < c.limit(now) {
-		return 0
+		return c.startRate.wait(now)
 	}
 	return c.expectedWait(ahead+1, p, now)
 }
 
+// canStart reports whether the limits allow another start.
+func (c *Controller) canStart(now time.Time) bool {
+	return c.inFlight < c.limit(now) && c.startRate.available(now) >= 1
+}
+
 // limit returns the concurrency limit in force.
 func (c *Controller) limit(now time.Time) int {
 	limit := c.limiter.current()
@@ -351,7 +382,7 @@
 // dispatch starts waiting calls while the limit allows.
 func (c *Controller) dispatch(now time.Time) []Action {
 	var actions []Action
-	for c.queue.size > 0 && c.inFlight < c.limit(now) {
+	for c.queue.size > 0 && c.canStart(now) {
 		t := c.next(now)
 		c.queue.remove(t)
 		if c.tooLateToStart(t, now) {
@@ -413,7 +444,18 @@
 	c.inFlight++
 	c.latencies.start(t.Class, now)
 	c.rates.started[priorityIndex(t.Priority)].add(now)
-	c.limiter.observe(c.inFlight, c.queue.size, c.limit(now))
+	c.startRate.count(now)
+	c.observeUse(now)
+}
+
+// observeUse tells the limiter how much of the concurrency limit is in use. Calls that
+// wait only for the start rate do not use it.
+func (c *Controller) observeUse(now time.Time) {
+	queued := c.queue.size
+	if c.startRate.available(now) < 1 {
+		queued = 0
+	}
+	c.limiter.observe(c.inFlight, queued, c.limit(now))
 }
 
 func (c *Controller) refuseNew(t *Ticket, reason call.Reason, now time.Time) Verdict {
--- a/call/call.go
+++ b/call/call.go
@@ -138,6 +138,7 @@
 	QueueDelay    time.Duration // expected wait of a new call of priority AdmitPriority
 	ServiceTime   time.Duration // typical execution time
 	Lost          float64       // fraction of recent calls whose answer was lost
+	Announced     Announcement  // by the backend server, zero unless notable
 }
 
 // Result is the result of one attempt as seen by the source node.
--- a/lifecycle/ratelimit.go
+++ b/lifecycle/ratelimit.go
@@ -34,5 +34,15 @@
 	return changed
 }
 
+// Adopt takes over the limit that another node heard from the same start, as long as no
+// answer has said what holds, and reports whether the limit in force has changed.
+func (t *RateTracker) Adopt(l call.RateLimit) bool {
+	if t.answered || !l.Stated || t.limit == l {
+		return false
+	}
+	t.limit = l
+	return true
+}
+
 // Limit returns the limit in force.
 func (t *RateTracker) Limit() call.RateLimit { return t.limit }
--- a/plugin/caller/attempt.go
+++ b/plugin/caller/attempt.go
@@ -150,6 +150,7 @@
 	r := a.req
 	start := time.Now()
 	ans := a.sendAndBuffer()
+	r.caller.recordAnnouncement(a.choice.Member.Addr, ans.Pressure)
 	a.withdrawIfLost(ans)
 	ans.Latency = time.Since(start)
 	a.settleRetries(ans)
@@ -176,6 +177,7 @@
 		SourceNode: r.caller.k.NodeID, IdempotencyKey: r.IdempotencyKey, Depth: uint32(r.Chain.Depth + 1),
 		RequestId: r.Chain.RequestID, Origin: r.Chain.Origin, Cohort: r.Chain.Cohort, Repeat: a.repeat,
 		ObjectiveMs: uint32(r.Chain.Objective.Milliseconds()), Host: r.Host,
+		Announcement: r.caller.latestAnnouncement(a.choice.Member.Addr),
 	}
 }
 
--- a/plugin/caller/caller.go
+++ b/plugin/caller/caller.go
@@ -9,8 +9,11 @@
 
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/lifecycle"
+	"github.com/dogwoodhatch/dogwoodhatch/plugin/peer"
 	"github.com/dogwoodhatch/dogwoodhatch/retry"
 	"github.com/dogwoodhatch/dogwoodhatch/routing"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
 // withdrawTimeout bounds the request to the target to withdraw a lost attempt.
@@ -25,6 +28,9 @@
 
 	mu       sync.RWMutex
 	services map[string]*service
+
+	announcementsMu sync.Mutex
+	announcements   lifecycle.Announcements
 }
 
 func newCaller(k *kernel.Kernel) *caller {
@@ -54,6 +60,28 @@
 	return s
 }
 
+// recordAnnouncement records what the backend server beside the node at addr announced.
+func (c *caller) recordAnnouncement(addr string, p call.Pressure) {
+	if p.Limit <= 0 {
+		return // the answer reports nothing about the member
+	}
+	c.announcementsMu.Lock()
+	defer c.announcementsMu.Unlock()
+	c.announcements.Record(addr, p.Announced, time.Now())
+}
+
+// latestAnnouncement returns what the backend server beside the node at addr last
+// announced, nil if nothing.
+func (c *caller) latestAnnouncement(addr string) *wire.Announcement {
+	c.announcementsMu.Lock()
+	defer c.announcementsMu.Unlock()
+	a, ok := c.announcements.Latest(addr, time.Now())
+	if !ok {
+		return nil
+	}
+	return peer.EncodeAnnouncement(a)
+}
+
 // request is the state of one request while it is being carried out.
 type request struct {
 	*kernel.Request
--- a/plugin/peer/client.go
+++ b/plugin/peer/client.go
@@ -110,6 +110,7 @@
 		},
 		Trailer: r.trailer,
 	}
+	a.Pressure.Announced = DecodeAnnouncement(h.GetAnnouncement())
 	if a.Outcome == call.Answered {
 		var err error
 		if a.Header, err = r.stream.headers.decode(h.GetHeaders()); err != nil {
--- a/plugin/peer/header.go
+++ b/plugin/peer/header.go
@@ -57,6 +57,22 @@
 	}
 }
 
+// EncodeAnnouncement returns nil for an announcement that is not notable.
+func EncodeAnnouncement(a call.Announcement) *wire.Announcement {
+	if !a.Notable() {
+		return nil
+	}
+	return &wire.Announcement{Instance: a.Instance, BornUnixMs: a.Born, Limited: a.RateLimit.Stated, RateLimit: a.RateLimit.PerSecond}
+}
+
+// DecodeAnnouncement is the inverse of EncodeAnnouncement.
+func DecodeAnnouncement(a *wire.Announcement) call.Announcement {
+	return call.Announcement{
+		Instance: a.GetInstance(), Born: a.GetBornUnixMs(),
+		RateLimit: call.RateLimit{Stated: a.GetLimited(), PerSecond: a.GetRateLimit()},
+	}
+}
+
 var outcomeToWire = map[call.Outcome]wire.Outcome{
 	call.Answered: wire.Outcome_OUTCOME_ANSWERED,
 	call.Refused:  wire.Outcome_OUTCOME_REFUSED,
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -238,7 +238,7 @@
 // WriteHead implements kernel.AnswerWriter.
 func (w *answerWriter) WriteHead(status int, h http.Header, pr call.Pressure) error {
 	return w.writeHead(&wire.AnswerHead{
-		Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: uint32(status), Headers: w.headers.encode(h), Pressure: encodePressure(pr),
+		Outcome: wire.Outcome_OUTCOME_ANSWERED, Status: uint32(status), Headers: w.headers.encode(h), Pressure: encodePressure(pr), Announcement: EncodeAnnouncement(pr.Announced),
 	})
 }
 
@@ -279,7 +279,7 @@
 	if !w.headSent {
 		w.writeHead(&wire.AnswerHead{
 			Outcome: outcomeToWire[res.Outcome], Reason: string(res.Reason), Status: uint32(res.Status),
-			RetryAfterMs: uint32(res.RetryAfter.Milliseconds()), Pressure: encodePressure(res.Pressure),
+			RetryAfterMs: uint32(res.RetryAfter.Milliseconds()), Pressure: encodePressure(res.Pressure), Announcement: EncodeAnnouncement(res.Pressure.Announced),
 		})
 	}
 	w.send(&wire.AnswerFrame{Kind: &wire.AnswerFrame_End{End: &wire.AnswerEnd{
--- a/plugin/target/announcement.go
+++ b/plugin/target/announcement.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/lifecycle"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
@@ -19,8 +20,41 @@
 
 // resetAnnouncements forgets what an earlier start of the backend server announced. The
 // caller must hold mu.
-func (t *target) resetAnnouncements() {
+func (t *target) resetAnnouncements(now time.Time) {
 	t.rateTracker = lifecycle.RateTracker{}
+	t.applyRateLimit(now)
+}
+
+// applyRateLimit passes the rate limit in force to the admission controller. The caller
+// must hold mu.
+func (t *target) applyRateLimit(now time.Time) {
+	if t.controller != nil {
+		t.deliver(t.controller.SetRateLimit(t.rateTracker.Limit(), now))
+	}
+}
+
+// announcement returns what the current start of the backend server announces. The
+// caller must hold mu.
+func (t *target) announcement() call.Announcement {
+	limit := t.rateTracker.Limit()
+	if !limit.Stated {
+		return call.Announcement{}
+	}
+	start := t.currentStart()
+	return call.Announcement{Instance: start.Instance, Born: start.Born, RateLimit: limit}
+}
+
+// adopt takes over what the source node of a call has heard from the backend server. The
+// caller must hold mu.
+func (t *target) adopt(a call.Announcement, now time.Time) {
+	if !a.Notable() || t.currentStart() != (membership.BackendStart{Instance: a.Instance, Born: a.Born}) {
+		return
+	}
+	before := t.rateTracker.Limit()
+	if t.rateTracker.Adopt(a.RateLimit) {
+		t.applyRateLimit(now)
+		t.logRateLimit(before, "source_node", now)
+	}
 }
 
 // observe processes what the backend server said about itself in the head of the
@@ -40,8 +74,15 @@
 	if !t.rateTracker.Observe(report.RateLimit, a.startedAt, now) {
 		return
 	}
+	t.applyRateLimit(now)
+	t.logRateLimit(before, "answer", now)
+}
+
+// logRateLimit logs a change of the rate limit. origin says where it was learned. The
+// caller must hold mu.
+func (t *target) logRateLimit(before call.RateLimit, origin string, now time.Time) {
 	limit := t.rateTracker.Limit()
-	t.log.Info("backend_rate_limit", zap.String("instance", a.start.Instance), zap.Bool("limited", limit.Stated), zap.Float64("per_second", limit.PerSecond),
-		zap.Bool("limited_before", before.Stated), zap.Float64("per_second_before", before.PerSecond), zap.Float64("started_per_second", a.controller.StartsPerSecond(now)),
-		zap.Int("running", len(t.executions)), zap.Int("slots", t.backend.Slots))
+	t.log.Info("backend_rate_limit", zap.String("instance", t.currentStart().Instance), zap.String("origin", origin), zap.Bool("limited", limit.Stated),
+		zap.Float64("per_second", limit.PerSecond), zap.Bool("limited_before", before.Stated), zap.Float64("per_second_before", before.PerSecond),
+		zap.Float64("started_per_second", t.controller.StartsPerSecond(now)), zap.Int("running", len(t.executions)), zap.Int("slots", t.backend.Slots))
 }
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -117,6 +117,7 @@
 		t.registry.Refuse(a.id, now)
 		return refused(call.ReasonLeaving, 0), true
 	}
+	t.adopt(peer.DecodeAnnouncement(a.head.GetAnnouncement()), now)
 	a.backend = t.backend
 	a.start = t.currentStart()
 	a.controller = t.controller
@@ -263,7 +264,11 @@
 	}
 	a.t.mu.Lock()
 	defer a.t.mu.Unlock()
-	return a.controller.Pressure(time.Now())
+	p := a.controller.Pressure(time.Now())
+	if a.start == a.t.currentStart() {
+		p.Announced = a.t.announcement()
+	}
+	return p
 }
 
 // callBackend sends the request to the backend server and copies its answer to w.
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -179,7 +179,7 @@
 			zap.Int64("sequence", r.Sequence), zap.String("service", r.Service), zap.Bool("draining", r.Draining), zap.Duration("cold", r.Cold))
 	}
 	if change == lifecycle.Started {
-		t.resetAnnouncements()
+		t.resetAnnouncements(now)
 	}
 	switch change {
 	case lifecycle.Started, lifecycle.Renewed:
@@ -257,6 +257,7 @@
 	t.serving = true
 	t.controller = admission.New(t.admissionConfig(b.Slots), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
 	t.controller.HintSlots(b.Slots, now)
+	t.applyRateLimit(now)
 	t.log.Info("backend_announced", zap.String("service", b.Service), zap.String("instance", b.Instance), zap.String("addr", b.Address),
 		zap.Int("slots", b.Slots), zap.Int("connections", b.Connections))
 	t.k.Fleet.Announce(b.Service, b.Slots)
--- a/routing/config.go
+++ b/routing/config.go
@@ -42,6 +42,11 @@
 	// small members more often.
 	LimitMaxAge time.Duration
 
+	// RateWaitMax bounds how long a member counts as unable to start a call because of
+	// the rate limit of its backend server. A lower value finds the end of a low limit
+	// sooner, and sends more calls that are refused.
+	RateWaitMax time.Duration
+
 	// OutcomeHalfLife is the age at which a success or a failure counts half. A
 	// higher value remembers a failing member longer.
 	OutcomeHalfLife time.Duration
@@ -184,6 +189,7 @@
 		PressureHalfLife:    500 * time.Millisecond,
 		PressureMaxAge:      time.Second,
 		LimitMaxAge:         2 * time.Second,
+		RateWaitMax:         5 * time.Second,
 		OutcomeHalfLife:     5 * time.Second,
 		OutcomeVolume:       40,
 		LostHalfLife:        2 * time.Second,
--- a/routing/member.go
+++ b/routing/member.go
@@ -66,6 +66,9 @@
 	return s.Region == cfg.Region
 }
 
+// rateLimited reports whether the backend server of the member announced a rate limit.
+func (s *memberState) rateLimited() bool { return s.pressure.Announced.RateLimit.Stated }
+
 // hasFreshPressure reports whether the pressure that the member reported is
 // recent enough to rule it out.
 func (s *memberState) hasFreshPressure(cfg *Config, now time.Time) bool {
@@ -94,7 +97,9 @@
 	case signalNone:
 		s.recordCanceled(cfg, res, now)
 	case signalRefused:
-		s.refusals.add(cfg, 0, 1, now)
+		if !s.rateLimited() { // otherwise the reported queue delay says when it accepts calls again
+			s.refusals.add(cfg, 0, 1, now)
+		}
 		s.readmit(now)
 	}
 }
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -172,12 +172,16 @@
 // trySpill selects a member of another region if one can serve the call and the
 // budget allows it.
 func (r *Router) trySpill(p *candidatePool, q Query, now time.Time) (Choice, bool) {
-	if s := r.dueProbe(p.remoteEjected, true, q, now); s != nil && r.takeSpillToken(q, now) {
+	takeToken := r.takeSpillToken
+	if slices.ContainsFunc(p.inRegion, (*memberState).rateLimited) {
+		takeToken = r.takeRemoteToken // the budget for spilled calls is for estimates of saturation; an announced limit is certain
+	}
+	if s := r.dueProbe(p.remoteEjected, true, q, now); s != nil && takeToken(q, now) {
 		c, _ := r.chooseProbe(s, now)
 		return c, true
 	}
 	serving := filter(p.remote, func(s *memberState) bool { return canServeSpill(&r.cfg, s, q, now) })
-	if len(serving) == 0 || !r.takeSpillToken(q, now) {
+	if len(serving) == 0 || !takeToken(q, now) {
 		return Choice{}, false
 	}
 	c, refusal := r.chooseBest(serving, RuleSpill, q, now)
--- a/routing/score.go
+++ b/routing/score.go
@@ -110,8 +110,12 @@
 	return (s.load(cfg, now) + 1) / s.limit(cfg, now)
 }
 
-// queueDelay returns the queue delay that the member reported, decayed by age.
+// queueDelay returns the queue delay that the member reported, decayed by age. The time
+// until a member under a rate limit may start another call passes as announced.
 func (s *memberState) queueDelay(cfg *Config, now time.Time) time.Duration {
+	if s.rateLimited() {
+		return max(min(s.pressure.QueueDelay, cfg.RateWaitMax)-now.Sub(s.pressureAt), 0)
+	}
 	retained := decay(now.Sub(s.pressureAt), cfg.PressureHalfLife)
 	return time.Duration(float64(s.pressure.QueueDelay) * retained)
 }
@@ -127,6 +131,9 @@
 // saturated reports whether the member has no capacity for another call. During its
 // ramp a member has only a fraction of its capacity, but at least one call.
 func (s *memberState) saturated(cfg *Config, now time.Time) bool {
+	if s.rateLimited() && s.queueDelay(cfg, now) > 0 {
+		return true
+	}
 	capacity := s.limit(cfg, now) * cfg.SaturatedLoad * s.ramp(cfg, now)
 	return s.load(cfg, now) >= max(capacity, 1)
 }
