A backend server that says in an answer that it leaves gets no more calls

Callers saw nothing yet; a server in its last seconds would have got calls until its heartbeat or departure arrived, and again after a restart of the node beside it. Cause: the same as for the rate limits: what a member says of itself in answers was read by nobody; the end of a start came from heartbeats only.

Change: an answer with the announcement ends that start like its departure does: the target refuses, the store records it. Nodes remember it for a minute by the address of the target and tell it with each call, so a target that was killed before the store had the record does not believe a later heartbeat. Another start at the address is not concerned: id and time of birth must agree.

--- a/call/announcement.go
+++ b/call/announcement.go
@@ -7,10 +7,11 @@
 	Instance  string // start of the backend server that answered
 	Born      int64  // time of that start in milliseconds since the Unix epoch, 0 if unknown
 	RateLimit RateLimit
+	Leaving   bool // it accepts no new calls
 }
 
 // Notable reports whether the announcement says anything that other nodes must know.
-func (a *Announcement) Notable() bool { return a.RateLimit.Stated }
+func (a *Announcement) Notable() bool { return a.Leaving || a.RateLimit.Stated }
 
 // RateLimit is the number of requests per second that a backend server accepts from
 // all nodes together.
--- a/lifecycle/announcements.go
+++ b/lifecycle/announcements.go
@@ -28,12 +28,19 @@
 }
 
 // Record records the announcement in an answer from the node at addr. One that is not
-// notable deletes the earlier one.
+// notable deletes the earlier one, except that a start which is leaving stays so: the
+// answer may be older, or come from the next start.
 func (l *Announcements) Record(addr string, a call.Announcement, now time.Time) {
+	before := l.byAddr[addr]
 	if !a.Notable() {
-		delete(l.byAddr, addr)
+		if !before.Leaving {
+			delete(l.byAddr, addr)
+		}
 		return
 	}
+	if before.Leaving && before.Instance == a.Instance && before.Born == a.Born {
+		a.Leaving = true
+	}
 	if l.byAddr == nil {
 		l.byAddr = map[string]heardAnnouncement{}
 	}
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -122,6 +122,9 @@
 // Serving reports whether the backend server accepts calls.
 func (t *Tracker) Serving() bool { return t.known && !t.ended }
 
+// Ended reports whether the current start accepts no more calls.
+func (t *Tracker) Ended() bool { return t.known && t.ended }
+
 // LastEnded returns the instance that accepts no more calls and the time, in
 // milliseconds since the Unix epoch, up to which its starts have ended. It is valid
 // after a change to Ended.
--- a/plugin/peer/header.go
+++ b/plugin/peer/header.go
@@ -62,14 +62,14 @@
 	if !a.Notable() {
 		return nil
 	}
-	return &wire.Announcement{Instance: a.Instance, BornUnixMs: a.Born, Limited: a.RateLimit.Stated, RateLimit: a.RateLimit.PerSecond}
+	return &wire.Announcement{Instance: a.Instance, BornUnixMs: a.Born, Limited: a.RateLimit.Stated, RateLimit: a.RateLimit.PerSecond, Leaving: a.Leaving}
 }
 
 // DecodeAnnouncement is the inverse of EncodeAnnouncement.
 func DecodeAnnouncement(a *wire.Announcement) call.Announcement {
 	return call.Announcement{
 		Instance: a.GetInstance(), Born: a.GetBornUnixMs(),
-		RateLimit: call.RateLimit{Stated: a.GetLimited(), PerSecond: a.GetRateLimit()},
+		RateLimit: call.RateLimit{Stated: a.GetLimited(), PerSecond: a.GetRateLimit()}, Leaving: a.GetLeaving(),
 	}
 }
 
--- a/plugin/target/announcement.go
+++ b/plugin/target/announcement.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,18 +37,25 @@
 // announcement returns what the current start of the backend server announces. The
 // caller must hold mu.
 func (t *target) announcement() call.Announcement {
-	limit := t.rateTracker.Limit()
-	if !limit.Stated {
+	start := t.currentStart()
+	a := call.Announcement{Instance: start.Instance, Born: start.Born, RateLimit: t.rateTracker.Limit(), Leaving: t.tracker.Ended()}
+	if !a.Notable() {
 		return call.Announcement{}
 	}
-	start := t.currentStart()
-	return call.Announcement{Instance: start.Instance, Born: start.Born, RateLimit: limit}
+	return a
 }
 
 // adopt takes over what the source node of a call has heard from the backend server. The
 // caller must hold mu.
 func (t *target) adopt(a call.Announcement, now time.Time) {
-	if !a.Notable() || t.currentStart() != (membership.BackendStart{Instance: a.Instance, Born: a.Born}) {
+	if !a.Notable() {
+		return
+	}
+	start := membership.BackendStart{Instance: a.Instance, Born: a.Born}
+	if a.Leaving {
+		t.endStart(start, "source_node", now)
+	}
+	if t.controller == nil || t.currentStart() != start {
 		return
 	}
 	before := t.rateTracker.Limit()
@@ -66,10 +74,13 @@
 	if t.currentStart() != a.start {
 		return
 	}
+	now := time.Now()
+	if report.Leaving {
+		t.endStart(a.start, "answer", now)
+	}
 	if report.RateLimit.Malformed {
 		t.log.Warn("backend_rate_limit_malformed", zap.String("instance", a.start.Instance))
 	}
-	now := time.Now()
 	before := t.rateTracker.Limit()
 	if !t.rateTracker.Observe(report.RateLimit, a.startedAt, now) {
 		return
@@ -78,6 +89,17 @@
 	t.logRateLimit(before, "answer", now)
 }
 
+// endStart records that a start of the backend server accepts no more calls because it
+// said so in an answer. origin says where that was learned. The caller must hold mu.
+func (t *target) endStart(start membership.BackendStart, origin string, now time.Time) {
+	if start.Instance == "" || t.tracker.Leave(start.Instance, start.Born, now) != lifecycle.Ended {
+		return
+	}
+	t.log.Info("backend_leaving", zap.String("instance", start.Instance), zap.Int64("born", start.Born), zap.String("origin", origin))
+	t.stopServing(now)
+	go t.recordEnd(context.Background())
+}
+
 // logRateLimit logs a change of the rate limit. origin says where it was learned. The
 // caller must hold mu.
 func (t *target) logRateLimit(before call.RateLimit, origin string, now time.Time) {
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -113,11 +113,11 @@
 	case execution.Full:
 		return refused(call.ReasonQueueFull, 0), true
 	}
+	t.adopt(peer.DecodeAnnouncement(a.head.GetAnnouncement()), now)
 	if t.leaving || !t.serving || t.backend.Service != a.head.GetService() {
 		t.registry.Refuse(a.id, now)
 		return refused(call.ReasonLeaving, 0), true
 	}
-	t.adopt(peer.DecodeAnnouncement(a.head.GetAnnouncement()), now)
 	a.backend = t.backend
 	a.start = t.currentStart()
 	a.controller = t.controller
--- a/routing/member.go
+++ b/routing/member.go
@@ -85,6 +85,9 @@
 func (s *memberState) finish(cfg *Config, res call.Result, ejectable bool, rng *rand.Rand, now time.Time) {
 	s.inFlight = max(s.inFlight-1, 0)
 	s.recordPressure(res.Pressure, now)
+	if res.Pressure.Announced.Leaving {
+		s.leavingSince = now
+	}
 	if res.Reason == call.ReasonLeaving {
 		s.leavingSince = now
 		return
