target: log crashes of the backend server with the fingerprints of the calls that it ran

A lost connection and a crashed server had the same reason, and no line told which calls ran at its end or that two calls were the same request. The target tells a crash by a refused connection right after; its calls end unknown with the reason crashed, and need no withdrawal.

--- a/call/call.go
+++ b/call/call.go
@@ -84,6 +84,7 @@
 	ReasonShed        Reason = "shed"         // the backend server shed the call before running it
 	ReasonConnect     Reason = "connect"      // no connection could be opened
 	ReasonConnLost    Reason = "conn_lost"    // the connection broke or stopped responding
+	ReasonCrashed     Reason = "crashed"      // the backend server crashed while it executed the call
 	ReasonTruncated   Reason = "truncated"    // the answer ended early
 	ReasonKeyHeld     Reason = "key_held"     // the idempotency key was submitted before
 	ReasonKeyUnproved Reason = "key_unproved" // the idempotency key cannot be proved unused
--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -217,6 +217,9 @@
 	// is false if certainly no byte reached the backend server. The caller must close
 	// the response body.
 	Do(ctx context.Context, addr string, req *BackendRequest) (resp *BackendResponse, sent bool, err error)
+	// RefusesConnections reports whether no process accepts connections at addr. It is
+	// false if ctx ends before that is known.
+	RefusesConnections(ctx context.Context, addr string) bool
 }
 
 // BackendRequest is a request to the backend server.
--- a/load/verdict.go
+++ b/load/verdict.go
@@ -76,7 +76,7 @@
 // isConnectionLoss reports whether the reason of an unknown outcome is a lost
 // connection.
 func isConnectionLoss(reason string) bool {
-	return reason == string(call.ReasonConnLost) || reason == string(call.ReasonTruncated)
+	return reason == string(call.ReasonConnLost) || reason == string(call.ReasonCrashed) || reason == string(call.ReasonTruncated)
 }
 
 var errForeignHeader = errors.New("the id in the X-Request-Id header belongs to another request")
--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -68,6 +68,16 @@
 	return resp, true, nil
 }
 
+// RefusesConnections implements kernel.Backend.
+func (b *backend) RefusesConnections(ctx context.Context, addr string) bool {
+	c, err := b.pool.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.Close()
+	return false
+}
+
 // exchange is one request on one connection.
 type exchange struct {
 	backend    *backend
--- /dev/null
+++ b/plugin/target/crash.go
@@ -0,0 +1,80 @@
+package target
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/membership"
+	"github.com/dogwoodhatch/dogwoodhatch/quarantine"
+)
+
+// crashCheckTimeout bounds the connection attempt that tells a crashed backend server
+// from a lost connection. Both are on the same VM.
+const crashCheckTimeout = 200 * time.Millisecond
+
+// crash is the check whether a start of the backend server has crashed.
+type crash struct {
+	start   membership.BackendStart
+	done    chan struct{}
+	crashed bool // valid once done is closed
+}
+
+// checkCrash reports whether the backend server of the attempt, whose connection ended
+// while the call ran, has crashed: it accepts no connections any more. Attempts that
+// lose their connections at the same time share one check.
+func (a *attempt) checkCrash() bool {
+	t := a.t
+	if a.start.Instance == "" {
+		return false // starts of this backend server cannot be told apart
+	}
+	t.mu.Lock()
+	c := t.crash
+	first := c == nil || c.start != a.start
+	if first {
+		c = &crash{start: a.start, done: make(chan struct{})}
+		t.crash = c
+	}
+	t.mu.Unlock()
+	if !first {
+		<-c.done
+		return c.crashed
+	}
+	running := t.runningFingerprints(a.start)
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	c.crashed = t.k.Backend.RefusesConnections(ctx, a.backend.Address)
+	if c.crashed {
+		t.crashes.Inc(1)
+		t.log.Warn("backend_crashed", zap.String("instance", a.start.Instance), zap.String("addr", a.backend.Address),
+			zap.Int("running", len(running)), zap.Stringers("fingerprints", running))
+	} else {
+		t.forgetCrashCheck(c)
+	}
+	close(c.done)
+	return c.crashed
+}
+
+// forgetCrashCheck lets the next lost connection be checked again.
+func (t *target) forgetCrashCheck(c *crash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.crash == c {
+		t.crash = nil
+	}
+}
+
+// runningFingerprints returns the fingerprints of the calls that a start of the backend
+// server is executing.
+func (t *target) runningFingerprints(start membership.BackendStart) []quarantine.Fingerprint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []quarantine.Fingerprint
+	for _, e := range t.executions {
+		if e.start == start {
+			list = append(list, e.fingerprint)
+		}
+	}
+	return list
+}
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -15,24 +15,26 @@
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
 	"github.com/dogwoodhatch/dogwoodhatch/plugin/peer"
+	"github.com/dogwoodhatch/dogwoodhatch/quarantine"
 	"github.com/dogwoodhatch/dogwoodhatch/retry"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
 // attempt is the state of one attempt at the target node.
 type attempt struct {
-	t          *target
-	id         call.ID
-	head       *wire.CallHead
-	body       []byte
-	deadline   time.Time
-	allowance  *retry.Allowance
-	controller *admission.Controller
-	ticket     *admission.Ticket
-	decided    chan admission.Action
-	backend    kernel.BackendInfo
-	start      membership.BackendStart // of backend
-	startedAt  time.Time               // when the call was passed to the backend server
+	t           *target
+	id          call.ID
+	head        *wire.CallHead
+	body        []byte
+	deadline    time.Time
+	allowance   *retry.Allowance
+	controller  *admission.Controller
+	ticket      *admission.Ticket
+	decided     chan admission.Action
+	backend     kernel.BackendInfo
+	start       membership.BackendStart // of backend
+	fingerprint quarantine.Fingerprint
+	startedAt   time.Time // when the call was passed to the backend server
 }
 
 // Serve implements kernel.Target.
@@ -44,13 +46,15 @@
 	now := time.Now()
 	id, err := call.ParseID(head.GetAttemptId())
 	if err != nil {
-		return t.recordResult(head, call.Result{Outcome: call.Refused, Reason: call.ReasonBadRequest}, now)
+		return t.recordResult(head, 0, call.Result{Outcome: call.Refused, Reason: call.ReasonBadRequest}, now)
 	}
 	a := &attempt{
 		t: t, id: id, head: head, body: body,
 		deadline:  now.Add(time.Duration(head.GetTimeoutMs()) * time.Millisecond),
 		allowance: retry.NewAllowance(int(head.GetRetries())),
 		decided:   make(chan admission.Action, 1),
+
+		fingerprint: quarantine.NewFingerprint(head.GetOrigin(), head.GetMethod(), requestHost(head), head.GetTarget(), body),
 	}
 	res, admitted := a.admit(ctx, now)
 	if admitted {
@@ -58,11 +62,11 @@
 	}
 	res.RetriesLeft = a.allowance.Settle()
 	res.Pressure = a.pressure()
-	return t.recordResult(head, res, now)
+	return t.recordResult(head, a.fingerprint, res, now)
 }
 
 // recordResult counts the result of an attempt and logs it if the sampler keeps it.
-func (t *target) recordResult(head *wire.CallHead, res call.Result, arrived time.Time) call.Result {
+func (t *target) recordResult(head *wire.CallHead, fingerprint quarantine.Fingerprint, res call.Result, arrived time.Time) call.Result {
 	switch res.Outcome {
 	case call.Answered:
 		t.answered.Mark(1)
@@ -77,7 +81,8 @@
 			zap.String("from", head.GetSourceNode()), zap.Uint32("priority", head.GetPriority()), zap.Stringer("outcome", res.Outcome),
 			zap.String("reason", string(res.Reason)), zap.Int("status", res.Status), zap.Int("limit", res.Pressure.Limit),
 			zap.Int("in_flight", res.Pressure.InFlight), zap.Int("queued", res.Pressure.Queued), zap.Duration("told_wait", res.Pressure.QueueDelay),
-			zap.Duration("took", time.Since(arrived)), zap.Uint32("timeout_ms", head.GetTimeoutMs()))
+			zap.Duration("took", time.Since(arrived)), zap.Uint32("timeout_ms", head.GetTimeoutMs()),
+			zap.Stringer("fingerprint", fingerprint))
 	}
 	return res
 }
@@ -213,7 +218,7 @@
 			RequestID: a.head.GetRequestId(), Origin: a.head.GetOrigin(), Cohort: a.head.GetCohort(), Repeat: a.head.GetRepeat(),
 		},
 	}
-	t.executions[token] = exec
+	t.executions[token] = &running{Execution: exec, start: a.start, fingerprint: a.fingerprint}
 	if exec.Chain.RequestID != "" {
 		t.executionsByRequestID[exec.Chain.RequestID] = exec
 	}
@@ -327,5 +332,8 @@
 	case ctx.Err() != nil:
 		return call.Result{Outcome: call.Unknown, Reason: call.ReasonCanceled}, admission.Sample{Canceled: true}
 	}
+	if a.checkCrash() {
+		return call.Result{Outcome: call.Unknown, Reason: call.ReasonCrashed}, admission.Sample{Failed: true, Lost: true}
+	}
 	return call.Result{Outcome: call.Unknown, Reason: call.ReasonConnLost}, admission.Sample{Failed: true, Lost: true}
 }
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/lifecycle"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
+	"github.com/dogwoodhatch/dogwoodhatch/quarantine"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
@@ -31,6 +32,7 @@
 	cancel       context.CancelFunc
 	callsWaiting chan struct{} // signals that the admission queue is not empty
 	started      metrics.Meter // calls sent to the backend server
+	crashes      metrics.Counter
 	answered     metrics.Meter
 	refused      metrics.Meter
 	unknown      metrics.Meter
@@ -45,12 +47,21 @@
 	leaving               bool
 	renewedAt             time.Time
 	rateTracker           lifecycle.RateTracker        // of the current start of the backend server
-	executions            map[string]*kernel.Execution // running executions by token
+	executions            map[string]*running          // running executions by token
+	crash                 *crash                       // last check whether the backend server has crashed, nil if none counts
 	executionsByRequestID map[string]*kernel.Execution // running executions by the caller's request id
 	views                 *execution.ViewHistory
 	fleetVersion          uint64 // version of the membership recorded in views
 }
 
+// running is an execution with what is needed to find the request that crashed the
+// backend server.
+type running struct {
+	*kernel.Execution
+	start       membership.BackendStart
+	fingerprint quarantine.Fingerprint
+}
+
 func newTarget(k *kernel.Kernel) *target {
 	t := &target{
 		k:                     k,
@@ -60,8 +71,9 @@
 		registry:              execution.NewRegistry(execution.DefaultRegistryConfig()),
 		claims:                execution.NewClaims(execution.DefaultClaimsConfig(), time.Time{}),
 		views:                 execution.NewViewHistory(k.NodeID, ClaimHolders, execution.DefaultClaimsConfig().ClockSkew),
-		executions:            map[string]*kernel.Execution{},
+		executions:            map[string]*running{},
 		executionsByRequestID: map[string]*kernel.Execution{},
+		crashes:               metrics.GetOrRegisterCounter("target.crashes", k.Metrics),
 		answered:              metrics.GetOrRegisterMeter("target.answered", k.Metrics),
 		refused:               metrics.GetOrRegisterMeter("target.refused", k.Metrics),
 		unknown:               metrics.GetOrRegisterMeter("target.unknown", k.Metrics),
@@ -331,7 +343,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.executions[token]
-	return e, ok
+	if !ok {
+		return nil, false
+	}
+	return e.Execution, true
 }
 
 // LookupRequest implements kernel.Executions.
