A request that crashes three backend servers runs no more

Callers saw up to 18 s in which two classes got nothing: a request that crashes each server that runs it came again and again, was sent to a second member after each crash, and ended 17 to 22 servers per wave. Cause: nobody linked the crashes to the request. The target saw a lost connection, the source an unknown outcome, which is a reason to try another member. Class: a query of death, a retry that carries the fault from member to member.

Change: the target tells a crash from a lost connection by a refused connection, and reports the fingerprints of its running calls to all nodes before these calls end. Such requests are suspect and run once at a time in the fleet, by permit of the node that rendezvous hashing chooses; a complete answer clears them. After the second crash a request rests for 3 s, after the third it is quarantined: refused as not run, with a record in the store for nodes that restart or were cut off. The decisions are in package quarantine, without I/O.

Ruled out: no second try after crashes (the innocent calls pay), quarantine after two (an innocent call may run at two crashes in a row), a quarantine that ends by probes (each costs a server). Tried first: a coordinator that knows nothing clears a suspect. Now the asking node's knowledge is merged.

--- a/call/call.go
+++ b/call/call.go
@@ -85,6 +85,8 @@
 	ReasonConnect     Reason = "connect"      // no connection could be opened
 	ReasonConnLost    Reason = "conn_lost"    // the connection broke or stopped responding
 	ReasonCrashed     Reason = "crashed"      // the backend server crashed while it executed the call
+	ReasonSuspect     Reason = "suspect"      // backend servers crashed while they executed the same request, which runs once at a time now
+	ReasonQuarantined Reason = "quarantined"  // the request crashes the backend servers that execute it
 	ReasonTruncated   Reason = "truncated"    // the answer ended early
 	ReasonKeyHeld     Reason = "key_held"     // the idempotency key was submitted before
 	ReasonKeyUnproved Reason = "key_unproved" // the idempotency key cannot be proved unused
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -38,7 +38,8 @@
 	Ingress    Ingress
 	Executions Executions
 	Backend    Backend
-	Dialect    BackendDialect     // nil selects the built-in dialect
+	Dialect    BackendDialect // nil selects the built-in dialect
+	Quarantine Quarantine
 	Routes     *route.ActiveTable // desired routing state
 	Replica    Replica
 	Records    *Records
--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -10,6 +10,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/lifecycle"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
+	"github.com/dogwoodhatch/dogwoodhatch/quarantine"
 	"github.com/dogwoodhatch/dogwoodhatch/retry"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
@@ -202,6 +203,27 @@
 	Allowance *retry.Allowance
 }
 
+// Quarantine decides which requests may run although backend servers have crashed while
+// they executed the same request. Implementations are safe for concurrent use.
+type Quarantine interface {
+	// Admit waits until the request may run. If it returns a refusal, the request must
+	// not run; otherwise the result is zero and the permit must be returned. attempt
+	// identifies the attempt among all nodes.
+	Admit(ctx context.Context, f quarantine.Fingerprint, attempt string, deadline time.Time) (Permit, call.Result)
+	// Return gives a permit back. complete says that the request was answered completely.
+	Return(p Permit, complete bool)
+	// Crashed records that a start of the backend server beside this node crashed while
+	// it executed the requests. It returns once the other nodes know, or after a short
+	// time.
+	Crashed(start string, requests []quarantine.Fingerprint)
+}
+
+// Permit allows an attempt to run a suspect request. It is zero for other requests.
+type Permit struct {
+	Fingerprint quarantine.Fingerprint
+	Holder      string
+}
+
 // Executions looks up running executions.
 type Executions interface {
 	// Lookup returns the execution with a token.
--- /dev/null
+++ b/plugin/quarantine/quarantine.go
@@ -0,0 +1,139 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/quarantine"
+)
+
+const (
+	// pollInterval is the time between two questions for a permit that another attempt
+	// holds.
+	pollInterval = 50 * time.Millisecond
+
+	// retryAfterQuarantine is told to callers of a quarantined request. Only an operator
+	// ends a quarantine.
+	retryAfterQuarantine = time.Minute
+
+	// retryAfterSuspect is told to callers of a suspect request whose permit did not
+	// become free in time.
+	retryAfterSuspect = time.Second
+)
+
+// plugin implements kernel.Quarantine.
+type plugin struct {
+	k        *kernel.Kernel
+	log      *zap.Logger
+	ctx      context.Context
+	cancel   context.CancelFunc
+	rejected metrics.Counter
+
+	active atomic.Bool // the table is not empty
+
+	mu    sync.Mutex
+	table *quarantine.Table
+}
+
+func newQuarantine(k *kernel.Kernel) *plugin {
+	q := &plugin{k: k, log: k.Log, table: quarantine.New(quarantine.DefaultConfig()), rejected: metrics.GetOrRegisterCounter("quarantine.rejected", k.Metrics)}
+	q.ctx, q.cancel = context.WithCancel(context.Background())
+	return q
+}
+
+// Start implements kernel.Plugin.
+func (q *plugin) Start(context.Context) error { return nil }
+
+// Stop implements kernel.Plugin.
+func (q *plugin) Stop(context.Context) error {
+	q.cancel()
+	return nil
+}
+
+// update runs f on the table, which other goroutines do not use meanwhile.
+func (q *plugin) update(f func(t *quarantine.Table)) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	f(q.table)
+	q.active.Store(!q.table.Empty())
+}
+
+// Admit implements kernel.Quarantine.
+func (q *plugin) Admit(ctx context.Context, f quarantine.Fingerprint, attempt string, deadline time.Time) (kernel.Permit, call.Result) {
+	if !q.active.Load() {
+		return kernel.Permit{}, call.Result{}
+	}
+	crashes := 0
+	q.update(func(t *quarantine.Table) { crashes = t.Crashes(f) })
+	if crashes == 0 {
+		return kernel.Permit{}, call.Result{}
+	}
+	for {
+		v := q.acquire(ctx, f, attempt, crashes)
+		switch v.Kind {
+		case quarantine.Unsuspected:
+			return kernel.Permit{}, call.Result{} // cleared meanwhile
+		case quarantine.Granted:
+			return kernel.Permit{Fingerprint: f, Holder: attempt}, call.Result{}
+		case quarantine.Quarantined:
+			return kernel.Permit{}, q.reject(f, attempt, call.ReasonQuarantined, retryAfterQuarantine)
+		}
+		wait := max(v.Wait, pollInterval)
+		if !time.Now().Add(wait).Before(deadline) {
+			return kernel.Permit{}, q.reject(f, attempt, call.ReasonSuspect, max(v.Wait, retryAfterSuspect))
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return kernel.Permit{}, q.reject(f, attempt, call.ReasonSuspect, retryAfterSuspect)
+		}
+	}
+}
+
+// reject returns the refusal of a request and logs it.
+func (q *plugin) reject(f quarantine.Fingerprint, attempt string, reason call.Reason, retryAfter time.Duration) call.Result {
+	q.rejected.Inc(1)
+	q.log.Info("request_not_run", zap.Stringer("fingerprint", f), zap.String("attempt", attempt), zap.String("reason", string(reason)), zap.Duration("retry_after", retryAfter))
+	return call.Result{Outcome: call.Refused, Reason: reason, RetryAfter: retryAfter}
+}
+
+// Return implements kernel.Quarantine.
+func (q *plugin) Return(p kernel.Permit, complete bool) {
+	if p.Holder == "" {
+		return
+	}
+	if complete {
+		q.update(func(t *quarantine.Table) { t.Clear(p.Fingerprint) })
+	}
+	go q.returnPermit(p, complete)
+}
+
+// Crashed implements kernel.Quarantine.
+func (q *plugin) Crashed(start string, requests []quarantine.Fingerprint) {
+	q.recordCrash(start, requests, true)
+	q.broadcastCrash(start, requests)
+}
+
+// recordCrash records a crash in the table. If it was seen here, the requests that are
+// quarantined by it are also written to the store.
+func (q *plugin) recordCrash(start string, requests []quarantine.Fingerprint, seenHere bool) {
+	var found []quarantine.Fingerprint
+	q.update(func(t *quarantine.Table) { found = t.RecordCrash(start, requests, time.Now()) })
+	for _, f := range found {
+		q.logQuarantined(f, start)
+		if seenHere {
+			go q.writeRecord(f, start)
+		}
+	}
+}
+
+func (q *plugin) logQuarantined(f quarantine.Fingerprint, lastCrash string) {
+	q.log.Warn("request_quarantined", zap.Stringer("fingerprint", f), zap.String("last_crash", lastCrash))
+}
--- /dev/null
+++ b/plugin/quarantine/spread.go
@@ -0,0 +1,233 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/execution"
+	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/membership"
+	"github.com/dogwoodhatch/dogwoodhatch/quarantine"
+	"github.com/dogwoodhatch/dogwoodhatch/wire"
+)
+
+const (
+	crashTopic  = "crash"
+	permitTopic = "permit"
+
+	// permitTimeout is several times the round trip between regions.
+	permitTimeout = 200 * time.Millisecond
+
+	// reportTimeout bounds the delivery of a crash report; reportWait bounds the time
+	// that the failed calls wait for it.
+	reportTimeout = time.Second
+	reportWait    = 100 * time.Millisecond
+
+	// coordinators is the number of nodes that are asked for a permit, one after the
+	// other. The second one is asked if the first does not answer.
+	coordinators = 2
+)
+
+// broadcastCrash tells all other nodes of a crash. It returns once they have answered or
+// after reportWait, so that a caller which is told of the failure afterwards and tries
+// again meets nodes that know.
+func (q *plugin) broadcastCrash(start string, requests []quarantine.Fingerprint) {
+	report := &wire.CrashReport{Start: start}
+	for _, f := range requests {
+		report.Fingerprints = append(report.Fingerprints, uint64(f))
+	}
+	payload := wire.Encode(report)
+	var wg sync.WaitGroup
+	for _, m := range q.k.Fleet.All() {
+		if m.ID != q.k.NodeID {
+			wg.Go(func() { q.sendCrashReport(m, start, payload) })
+		}
+	}
+	delivered := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(delivered)
+	}()
+	select {
+	case <-delivered:
+	case <-time.After(reportWait):
+	}
+}
+
+func (q *plugin) sendCrashReport(m membership.Member, start string, payload []byte) {
+	ctx, cancel := context.WithTimeout(q.ctx, reportTimeout)
+	defer cancel()
+	if _, err := q.k.Transport.Exchange(ctx, m.Addr, crashTopic, payload); err != nil {
+		q.log.Info("crash_report_lost", zap.String("member", m.ID), zap.String("start", start), zap.Error(err))
+	}
+}
+
+// serveCrash handles a CrashReport.
+func (q *plugin) serveCrash(_ string, payload []byte) ([]byte, error) {
+	var report wire.CrashReport
+	if err := wire.Decode(payload, &report); err != nil {
+		return nil, err
+	}
+	requests := make([]quarantine.Fingerprint, 0, len(report.GetFingerprints()))
+	for _, f := range report.GetFingerprints() {
+		requests = append(requests, quarantine.Fingerprint(f))
+	}
+	q.recordCrash(report.GetStart(), requests, false)
+	return wire.Encode(&wire.CrashReply{}), nil
+}
+
+// acquire asks the coordinator of a suspect request, on which all nodes agree as far as
+// they know the same members, whether it may run. If no coordinator answers, a request
+// that may be quarantined by its next crash waits, and any other runs.
+func (q *plugin) acquire(ctx context.Context, f quarantine.Fingerprint, attempt string, crashes int) quarantine.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, coordinators*permitTimeout)
+	defer cancel()
+	for _, m := range q.coordinators(f) {
+		if m.ID == q.k.NodeID {
+			return q.acquireHere(f, attempt)
+		}
+		if v, err := q.ask(ctx, m, f, attempt); err == nil {
+			return v
+		}
+	}
+	if crashes >= quarantine.DefaultConfig().CrashLimit-1 {
+		return quarantine.Verdict{Kind: quarantine.Busy}
+	}
+	return quarantine.Verdict{Kind: quarantine.Granted}
+}
+
+// acquireHere decides on a request that this node coordinates.
+func (q *plugin) acquireHere(f quarantine.Fingerprint, attempt string) (v quarantine.Verdict) {
+	q.update(func(t *quarantine.Table) { v = t.Acquire(f, attempt, time.Now()) })
+	return v
+}
+
+// coordinators returns the nodes that coordinate a request, in the order in which they
+// are asked.
+func (q *plugin) coordinators(f quarantine.Fingerprint) []membership.Member {
+	byID := map[string]membership.Member{}
+	ids := []string{q.k.NodeID}
+	byID[q.k.NodeID] = membership.Member{ID: q.k.NodeID}
+	for _, m := range q.k.Fleet.All() {
+		if m.State != membership.Lapsed {
+			byID[m.ID] = m
+			ids = append(ids, m.ID)
+		}
+	}
+	var list []membership.Member
+	for _, id := range execution.Holders(f.String(), ids, coordinators) {
+		list = append(list, byID[id])
+	}
+	return list
+}
+
+// ask asks another node for a permit.
+func (q *plugin) ask(ctx context.Context, m membership.Member, f quarantine.Fingerprint, attempt string) (quarantine.Verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	var reply wire.PermitReply
+	req := &wire.PermitRequest{Fingerprint: uint64(f), Holder: attempt}
+	req.Starts, req.LastCrashAgeMs = q.encodeHistory(f)
+	payload, err := q.k.Transport.Exchange(ctx, m.Addr, permitTopic, wire.Encode(req))
+	if err == nil {
+		err = wire.Decode(payload, &reply)
+	}
+	if err != nil {
+		q.log.Info("permit_request_failed", zap.String("member", m.ID), zap.Stringer("fingerprint", f), zap.Error(err))
+		return quarantine.Verdict{}, err
+	}
+	q.merge(f, reply.GetStarts(), reply.GetLastCrashAgeMs())
+	return quarantine.Verdict{Kind: verdictFromWire[reply.GetVerdict()], Wait: time.Duration(reply.GetWaitMs()) * time.Millisecond}, nil
+}
+
+// encodeHistory returns what this node knows of a request, for a message.
+func (q *plugin) encodeHistory(f quarantine.Fingerprint) (starts []string, ageMS uint32) {
+	q.update(func(t *quarantine.Table) {
+		h := t.History(f)
+		starts, ageMS = slices.Clone(h.Starts), uint32(time.Since(h.LastCrash).Milliseconds())
+	})
+	return starts, ageMS
+}
+
+// merge adds what another node knows of a request. A node that was started or joined
+// lately, like a coordinator that has just become one, has missed reports of crashes.
+func (q *plugin) merge(f quarantine.Fingerprint, starts []string, ageMS uint32) {
+	if len(starts) == 0 {
+		return
+	}
+	found := false
+	now := time.Now()
+	h := quarantine.History{Starts: starts, LastCrash: now.Add(-time.Duration(ageMS) * time.Millisecond)}
+	q.update(func(t *quarantine.Table) { found = t.Merge(f, h, now) })
+	if found {
+		q.logQuarantined(f, starts[len(starts)-1])
+		go q.writeRecord(f, starts[len(starts)-1])
+	}
+}
+
+// returnPermit gives a permit back to the coordinators.
+func (q *plugin) returnPermit(p kernel.Permit, complete bool) {
+	req := &wire.PermitRequest{Fingerprint: uint64(p.Fingerprint), Holder: p.Holder, Return: true, Clear: complete}
+	ctx, cancel := context.WithTimeout(q.ctx, coordinators*permitTimeout)
+	defer cancel()
+	for _, m := range q.coordinators(p.Fingerprint) {
+		if m.ID == q.k.NodeID {
+			q.takeBack(req)
+			continue
+		}
+		if _, err := q.k.Transport.Exchange(ctx, m.Addr, permitTopic, wire.Encode(req)); err != nil {
+			q.log.Info("permit_not_returned", zap.String("member", m.ID), zap.Stringer("fingerprint", p.Fingerprint), zap.Error(err))
+		}
+	}
+}
+
+// takeBack takes a permit back that this node may have granted.
+func (q *plugin) takeBack(req *wire.PermitRequest) {
+	f := quarantine.Fingerprint(req.GetFingerprint())
+	q.update(func(t *quarantine.Table) {
+		if req.GetClear() {
+			t.Clear(f)
+			return
+		}
+		t.Return(f, req.GetHolder())
+	})
+}
+
+// servePermit handles a PermitRequest.
+func (q *plugin) servePermit(_ string, payload []byte) ([]byte, error) {
+	var req wire.PermitRequest
+	if err := wire.Decode(payload, &req); err != nil {
+		return nil, err
+	}
+	if req.GetReturn() {
+		q.takeBack(&req)
+		return wire.Encode(&wire.PermitReply{}), nil
+	}
+	f := quarantine.Fingerprint(req.GetFingerprint())
+	q.merge(f, req.GetStarts(), req.GetLastCrashAgeMs())
+	v := q.acquireHere(f, req.GetHolder())
+	reply := &wire.PermitReply{Verdict: verdictToWire[v.Kind], WaitMs: uint32(v.Wait.Milliseconds())}
+	reply.Starts, reply.LastCrashAgeMs = q.encodeHistory(f)
+	return wire.Encode(reply), nil
+}
+
+var verdictToWire = map[quarantine.VerdictKind]wire.PermitVerdict{
+	quarantine.Unsuspected: wire.PermitVerdict_PERMIT_VERDICT_UNSUSPECTED,
+	quarantine.Granted:     wire.PermitVerdict_PERMIT_VERDICT_GRANTED,
+	quarantine.Busy:        wire.PermitVerdict_PERMIT_VERDICT_BUSY,
+	quarantine.Quarantined: wire.PermitVerdict_PERMIT_VERDICT_QUARANTINED,
+}
+
+// verdictFromWire is the inverse of verdictToWire. A reply without a verdict counts as
+// Busy.
+var verdictFromWire = map[wire.PermitVerdict]quarantine.VerdictKind{
+	wire.PermitVerdict_PERMIT_VERDICT_UNSPECIFIED: quarantine.Busy,
+	wire.PermitVerdict_PERMIT_VERDICT_UNSUSPECTED: quarantine.Unsuspected,
+	wire.PermitVerdict_PERMIT_VERDICT_GRANTED:     quarantine.Granted,
+	wire.PermitVerdict_PERMIT_VERDICT_BUSY:        quarantine.Busy,
+	wire.PermitVerdict_PERMIT_VERDICT_QUARANTINED: quarantine.Quarantined,
+}
--- a/plugin/target/crash.go
+++ b/plugin/target/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,6 +50,7 @@
 		t.crashes.Inc(1)
 		t.log.Warn("backend_crashed", zap.String("instance", a.start.Instance), zap.String("addr", a.backend.Address),
 			zap.Int("running", len(running)), zap.Stringers("fingerprints", running))
+		t.k.Quarantine.Crashed(fmt.Sprintf("%s@%d", a.start.Instance, a.start.Born), running)
 	} else {
 		t.forgetCrashCheck(c)
 	}
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -56,15 +56,26 @@
 
 		fingerprint: quarantine.NewFingerprint(head.GetOrigin(), head.GetMethod(), requestHost(head), head.GetTarget(), body),
 	}
-	res, admitted := a.admit(ctx, now)
-	if admitted {
-		res = a.execute(ctx, w)
-	}
+	res := a.run(ctx, w)
 	res.RetriesLeft = a.allowance.Settle()
 	res.Pressure = a.pressure()
 	return t.recordResult(head, a.fingerprint, res, now)
 }
 
+// run executes the attempt if quarantine and admission control allow it.
+func (a *attempt) run(ctx context.Context, w kernel.AnswerWriter) call.Result {
+	permit, refusal := a.t.k.Quarantine.Admit(ctx, a.fingerprint, a.id.String(), a.deadline)
+	if refusal.Outcome == call.Refused {
+		return refusal
+	}
+	res, admitted := a.admit(ctx, time.Now())
+	if admitted {
+		res = a.execute(ctx, w)
+	}
+	a.t.k.Quarantine.Return(permit, res.Outcome == call.Answered)
+	return res
+}
+
 // recordResult counts the result of an attempt and logs it if the sampler keeps it.
 func (t *target) recordResult(head *wire.CallHead, fingerprint quarantine.Fingerprint, res call.Result, arrived time.Time) call.Result {
 	switch res.Outcome {
@@ -306,6 +317,9 @@
 	}
 	// net/http reports a body that is shorter than its declared length.
 	if _, err := bufpool.Copy(w, resp.Body); err != nil {
+		if ctx.Err() == nil {
+			a.checkCrash()
+		}
 		return call.Result{Outcome: call.Unknown, Reason: call.ReasonTruncated}, admission.Sample{Failed: ctx.Err() == nil, Lost: ctx.Err() == nil, Canceled: ctx.Err() != nil}
 	}
 	return res, admission.Sample{Failed: resp.Status >= 500}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -15,6 +15,12 @@
 // String returns the form used in logs and keys.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
+// ParseFingerprint parses the result of String.
+func ParseFingerprint(s string) (Fingerprint, error) {
+	f, err := strconv.ParseUint(s, 16, 64)
+	return Fingerprint(f), err
+}
+
 // NewFingerprint returns the fingerprint of a request.
 func NewFingerprint(origin, method, host, target string, body []byte) Fingerprint {
 	var d xxhash.Digest
