quarantine: a request that other servers answer is cleared everywhere

It was cleared only at the node and the coordinator of its permit; another node then told the crashes anew, so that three crashes in some seconds would have quarantined it. Now each complete answer clears a suspect, also a run that had begun before the crash, and the time of the last one is kept, so that crashes from before do not count again (TestPopularRequestIsNotQuarantined, TestClearedRequestStaysCleared).

--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -210,8 +210,9 @@
 	// not run; otherwise the result is zero and the permit must be returned. attempt
 	// identifies the attempt among all nodes.
 	Admit(ctx context.Context, f quarantine.Fingerprint, attempt string, deadline time.Time) (Permit, call.Result)
-	// Return gives a permit back. complete says that the request was answered completely.
-	Return(p Permit, complete bool)
+	// Return reports that a run of the request has ended, and gives its permit back.
+	// complete says that it was answered completely.
+	Return(f quarantine.Fingerprint, p Permit, complete bool)
 	// Crashed records that a start of the backend server beside this node crashed while
 	// it executed the requests. It returns once the other nodes know, or after a short
 	// time.
@@ -220,8 +221,7 @@
 
 // Permit allows an attempt to run a suspect request. It is zero for other requests.
 type Permit struct {
-	Fingerprint quarantine.Fingerprint
-	Holder      string
+	Holder string // attempt that holds it
 }
 
 // Executions looks up running executions.
--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -76,12 +76,14 @@
 		return kernel.Permit{}, call.Result{}
 	}
 	for {
+		asked := time.Now()
 		v := q.acquire(ctx, f, attempt, crashes)
 		switch v.Kind {
-		case quarantine.Unsuspected:
-			return kernel.Permit{}, call.Result{} // cleared meanwhile
+		case quarantine.Unsuspected: // cleared meanwhile
+			q.update(func(t *quarantine.Table) { t.Clear(f, asked) })
+			return kernel.Permit{}, call.Result{}
 		case quarantine.Granted:
-			return kernel.Permit{Fingerprint: f, Holder: attempt}, call.Result{}
+			return kernel.Permit{Holder: attempt}, call.Result{}
 		case quarantine.Quarantined:
 			return kernel.Permit{}, q.reject(f, attempt, call.ReasonQuarantined, retryAfterQuarantine)
 		}
@@ -105,14 +107,19 @@
 }
 
 // Return implements kernel.Quarantine.
-func (q *plugin) Return(p kernel.Permit, complete bool) {
-	if p.Holder == "" {
+func (q *plugin) Return(f quarantine.Fingerprint, p kernel.Permit, complete bool) {
+	if !q.active.Load() {
 		return
 	}
-	if complete {
-		q.update(func(t *quarantine.Table) { t.Clear(p.Fingerprint) })
+	suspect := false
+	q.update(func(t *quarantine.Table) {
+		if suspect = len(t.History(f).Starts) > 0; suspect && complete {
+			t.Clear(f, time.Now())
+		}
+	})
+	if suspect && complete || p.Holder != "" {
+		go q.returnPermit(f, p, complete)
 	}
-	go q.returnPermit(p, complete)
 }
 
 // Crashed implements kernel.Quarantine.
--- a/plugin/quarantine/quarantine_test.go
+++ b/plugin/quarantine/quarantine_test.go
@@ -124,7 +124,7 @@
 	if _, reason := net.admit("n1", "second", 10*time.Millisecond); reason != call.ReasonSuspect {
 		t.Errorf("second run beside the first: %q", reason)
 	}
-	net.nodes["n0"].Return(first, true)
+	net.nodes["n0"].Return(killer, first, true)
 	if _, reason := net.admit("n1", "third", time.Second); reason != call.ReasonNone {
 		t.Errorf("after a complete answer: %q", reason)
 	}
@@ -169,3 +169,21 @@
 	}
 	n.k.Records.Deliver(store.Entry{Key: recordPrefix + "not a fingerprint", Revision: 5})
 }
+
+// TestPopularRequestIsNotQuarantined crashes servers one after the other, each while it
+// runs a request that other servers answer all the time. The request must never be
+// refused.
+func TestPopularRequestIsNotQuarantined(t *testing.T) {
+	net := newNetwork(t, 8)
+	for crash := range 6 {
+		net.nodes[fmt.Sprint("n", crash)].Crashed(fmt.Sprint("s", crash), []quarantine.Fingerprint{killer})
+		for id, n := range net.nodes {
+			n.Return(killer, kernel.Permit{}, true) // a run that had begun before the crash
+			permit, reason := net.admit(id, "x", time.Second)
+			if reason != call.ReasonNone {
+				t.Fatalf("after crash %d at %s: %q", crash+1, id, reason)
+			}
+			n.Return(killer, permit, true)
+		}
+	}
+}
--- a/plugin/quarantine/spread.go
+++ b/plugin/quarantine/spread.go
@@ -169,18 +169,19 @@
 	}
 }
 
-// returnPermit gives a permit back to the coordinators.
-func (q *plugin) returnPermit(p kernel.Permit, complete bool) {
-	req := &wire.PermitRequest{Fingerprint: uint64(p.Fingerprint), Holder: p.Holder, Return: true, Clear: complete}
+// returnPermit gives a permit back to the coordinators, or clears a request that ran
+// without one.
+func (q *plugin) returnPermit(f quarantine.Fingerprint, p kernel.Permit, complete bool) {
+	req := &wire.PermitRequest{Fingerprint: uint64(f), Holder: p.Holder, Return: true, Clear: complete}
 	ctx, cancel := context.WithTimeout(q.ctx, coordinators*permitTimeout)
 	defer cancel()
-	for _, m := range q.coordinators(p.Fingerprint) {
+	for _, m := range q.coordinators(f) {
 		if m.ID == q.k.NodeID {
 			q.takeBack(req)
 			continue
 		}
 		if _, err := q.k.Transport.Exchange(ctx, m.Addr, permitTopic, wire.Encode(req)); err != nil {
-			q.log.Info("permit_not_returned", zap.String("member", m.ID), zap.Stringer("fingerprint", p.Fingerprint), zap.Error(err))
+			q.log.Info("permit_not_returned", zap.String("member", m.ID), zap.Stringer("fingerprint", f), zap.Error(err))
 		}
 	}
 }
@@ -190,7 +191,7 @@
 	f := quarantine.Fingerprint(req.GetFingerprint())
 	q.update(func(t *quarantine.Table) {
 		if req.GetClear() {
-			t.Clear(f)
+			t.Clear(f, time.Now())
 			return
 		}
 		t.Return(f, req.GetHolder())
--- a/plugin/target/crash.go
+++ b/plugin/target/crash.go
@@ -23,25 +23,19 @@
 }
 
 // checkCrash reports whether the backend server of the attempt, whose connection ended
-// while the call ran, has crashed: it accepts no connections any more. Attempts that
-// lose their connections at the same time share one check.
+// while the call ran, has crashed: it accepts no connections any more, and did not
+// announce its end. Attempts that lose their connections at the same time share one
+// check.
 func (a *attempt) checkCrash() bool {
-	t := a.t
-	if a.start.Instance == "" {
-		return false // starts of this backend server cannot be told apart
-	}
-	t.mu.Lock()
-	c := t.crash
-	first := c == nil || c.start != a.start
-	if first {
-		c = &crash{start: a.start, done: make(chan struct{})}
-		t.crash = c
+	c, first := a.t.joinCrashCheck(a.start)
+	if c == nil {
+		return false
 	}
-	t.mu.Unlock()
 	if !first {
 		<-c.done
 		return c.crashed
 	}
+	t := a.t
 	running := t.runningFingerprints(a.start)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
@@ -58,6 +52,22 @@
 	return c.crashed
 }
 
+// joinCrashCheck returns the check of a start, and whether the caller must carry it out.
+// It returns nil if the end of the start would be no crash, or if starts of the backend
+// server cannot be told apart.
+func (t *target) joinCrashCheck(start membership.BackendStart) (c *crash, first bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if start.Instance == "" || t.tracker.Ended() && t.currentStart() == start {
+		return nil, false
+	}
+	if t.crash != nil && t.crash.start == start {
+		return t.crash, false
+	}
+	t.crash = &crash{start: start, done: make(chan struct{})}
+	return t.crash, true
+}
+
 // forgetCrashCheck lets the next lost connection be checked again.
 func (t *target) forgetCrashCheck(c *crash) {
 	t.mu.Lock()
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -72,7 +72,7 @@
 	if admitted {
 		res = a.execute(ctx, w)
 	}
-	a.t.k.Quarantine.Return(permit, res.Outcome == call.Answered)
+	a.t.k.Quarantine.Return(a.fingerprint, permit, res.Outcome == call.Answered)
 	return res
 }
 
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -31,6 +31,7 @@
 type Table struct {
 	cfg         Config
 	suspects    map[Fingerprint]*suspect
+	cleared     map[Fingerprint]time.Time // when a suspect was last answered completely
 	quarantined map[Fingerprint]time.Time // when it was quarantined
 }
 
@@ -43,7 +44,7 @@
 
 // New returns an empty Table.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, suspects: map[Fingerprint]*suspect{}, quarantined: map[Fingerprint]time.Time{}}
+	return &Table{cfg: cfg, suspects: map[Fingerprint]*suspect{}, cleared: map[Fingerprint]time.Time{}, quarantined: map[Fingerprint]time.Time{}}
 }
 
 // RecordCrash records that a start of a backend server crashed while it executed the
@@ -74,9 +75,9 @@
 }
 
 // Merge adds what another node knows of a request, and reports whether the request is
-// quarantined from now on.
+// quarantined from now on. Crashes from before the request was cleared do not count.
 func (t *Table) Merge(f Fingerprint, h History, now time.Time) bool {
-	if _, ok := t.quarantined[f]; ok || len(h.Starts) == 0 {
+	if _, ok := t.quarantined[f]; ok || len(h.Starts) == 0 || !h.LastCrash.After(t.cleared[f]) {
 		return false
 	}
 	s := t.suspects[f]
@@ -125,6 +126,11 @@
 			delete(t.suspects, f)
 		}
 	}
+	for f, at := range t.cleared {
+		if now.Sub(at) > t.cfg.SuspectTTL {
+			delete(t.cleared, f)
+		}
+	}
 }
 
 // Quarantine quarantines a request. If too many are, the one that has been for longest
@@ -149,8 +155,19 @@
 // Release ends the quarantine of a request.
 func (t *Table) Release(f Fingerprint) { delete(t.quarantined, f) }
 
-// Clear clears a suspect, because the request was answered completely.
-func (t *Table) Clear(f Fingerprint) { delete(t.suspects, f) }
+// Clear clears a suspect, because the request was answered completely at the given time.
+// Later crashes count.
+func (t *Table) Clear(f Fingerprint, at time.Time) {
+	if s := t.suspects[f]; s != nil && !s.LastCrash.After(at) {
+		delete(t.suspects, f)
+	}
+	if len(t.cleared) >= t.cfg.MaxSuspects {
+		clear(t.cleared)
+	}
+	if at.After(t.cleared[f]) {
+		t.cleared[f] = at
+	}
+}
 
 // Empty reports whether every request may run.
 func (t *Table) Empty() bool { return len(t.suspects)+len(t.quarantined) == 0 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -125,7 +125,7 @@
 			if v := table.Acquire(f, "x", now); v.Kind != Granted {
 				t.Fatalf("a request that ran at one crash may not run again: %+v", v)
 			}
-			table.Clear(f)
+			table.Clear(f, now)
 			if v := table.Acquire(f, "y", now); v.Kind != Unsuspected {
 				t.Fatalf("a request that was answered is still suspect: %+v", v)
 			}
@@ -219,3 +219,22 @@
 		}
 	}
 }
+
+// TestClearedRequestStaysCleared lets a node that did not hear of a complete answer tell
+// of the crashes before it. Only a later crash makes the request suspect again.
+func TestClearedRequestStaysCleared(t *testing.T) {
+	table, other := New(DefaultConfig()), New(DefaultConfig())
+	for _, x := range []*Table{table, other} {
+		x.RecordCrash("s1", []Fingerprint{killer}, epoch)
+	}
+	table.Clear(killer, epoch.Add(time.Second))
+	table.Merge(killer, other.History(killer), epoch.Add(2*time.Second))
+	if n := table.Crashes(killer); n != 0 {
+		t.Errorf("%d crashes after a complete answer", n)
+	}
+	table.RecordCrash("s2", []Fingerprint{killer}, epoch.Add(3*time.Second))
+	table.Clear(killer, epoch.Add(2*time.Second))
+	if n := table.Crashes(killer); n != 1 {
+		t.Errorf("%d crashes after the next one", n)
+	}
+}
