quarantine: a record that a restored store has lost is written again

A store that comes back from an older copy may lack the record of a quarantined request; its deletion ended the quarantine, as if an operator had. A deletion in a newer era is now such a loss: the request stays quarantined and one of the nodes writes the record again, spread over 2 s (TestOperatorEndsQuarantine covers both).

--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -38,12 +38,17 @@
 
 	active atomic.Bool // the table is not empty
 
+	recordRevision map[quarantine.Fingerprint]uint64 // revision of the last change of each record; belongs to the control goroutine
+
 	mu    sync.Mutex
 	table *quarantine.Table
 }
 
 func newQuarantine(k *kernel.Kernel) *plugin {
-	q := &plugin{k: k, log: k.Log, table: quarantine.New(quarantine.DefaultConfig()), rejected: metrics.GetOrRegisterCounter("quarantine.rejected", k.Metrics)}
+	q := &plugin{
+		k: k, log: k.Log, table: quarantine.New(quarantine.DefaultConfig()), recordRevision: map[quarantine.Fingerprint]uint64{},
+		rejected: metrics.GetOrRegisterCounter("quarantine.rejected", k.Metrics),
+	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	return q
 }
--- a/plugin/quarantine/quarantine_test.go
+++ b/plugin/quarantine/quarantine_test.go
@@ -154,7 +154,8 @@
 	}
 }
 
-// TestOperatorEndsQuarantine deletes the record of a quarantined request.
+// TestOperatorEndsQuarantine deletes the record of a quarantined request, which ends the
+// quarantine, and then loses it by a restoration of the store, which does not.
 func TestOperatorEndsQuarantine(t *testing.T) {
 	net := newNetwork(t, 1)
 	n := net.nodes["n0"]
@@ -167,6 +168,11 @@
 	if _, reason := net.admit("n0", "x", time.Second); reason != call.ReasonNone {
 		t.Errorf("without the record: %q", reason)
 	}
+	n.k.Records.Deliver(store.Entry{Key: key, Revision: 6, Value: []byte("s3")})
+	n.k.Records.Deliver(store.Entry{Key: key, Revision: store.JoinRevision(1, 2), Deleted: true})
+	if _, reason := net.admit("n0", "x", time.Second); reason != call.ReasonQuarantined {
+		t.Errorf("after the store lost the record: %q", reason)
+	}
 	n.k.Records.Deliver(store.Entry{Key: recordPrefix + "not a fingerprint", Revision: 5})
 }
 
--- a/plugin/quarantine/record.go
+++ b/plugin/quarantine/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -42,15 +43,38 @@
 	}
 }
 
+// restoreSpread is the time over which the nodes write a lost record again, so that most
+// of them find it written.
+const restoreSpread = 2 * time.Second
+
+// restoreRecord writes a record again that a restored store has lost.
+func (q *plugin) restoreRecord(f quarantine.Fingerprint) {
+	select {
+	case <-time.After(rand.N(restoreSpread)):
+		q.writeRecord(f, "restored")
+	case <-q.ctx.Done():
+	}
+}
+
 // applyRecord processes a change of a record. An operator ends a quarantine by deleting
-// its record. It runs on the control goroutine.
+// its record; a store that was restored from an older copy may have lost it, which does
+// not. It runs on the control goroutine.
 func (q *plugin) applyRecord(e store.Entry) {
 	f, err := quarantine.ParseFingerprint(strings.TrimPrefix(e.Key, recordPrefix))
 	if err != nil {
 		q.log.Warn("quarantine_record_rejected", zap.String("key", e.Key), zap.Uint64("revision", e.Revision), zap.Error(err))
 		return
 	}
-	q.log.Info("quarantine_record", zap.Stringer("fingerprint", f), zap.Uint64("revision", e.Revision), zap.Bool("deleted", e.Deleted))
+	lost := e.Deleted && store.Era(e.Revision) > store.Era(q.recordRevision[f])
+	q.recordRevision[f] = e.Revision
+	q.log.Info("quarantine_record", zap.Stringer("fingerprint", f), zap.Uint64("revision", e.Revision), zap.Bool("deleted", e.Deleted), zap.Bool("lost", lost))
+	if lost {
+		go q.restoreRecord(f)
+		return
+	}
+	if e.Deleted {
+		delete(q.recordRevision, f)
+	}
 	q.update(func(t *quarantine.Table) {
 		if e.Deleted {
 			t.Release(f)
