quarantine: a node that knows of a quarantine refuses without asking

Found while reading: a node that knew of three crashes still asked the coordinator, and told it nothing, since the history of a quarantined request is not kept; a coordinator that had joined after the crashes and did not have the record yet let the request run. TestQuarantineHoldsAgainstNodesThatDoNotKnow fails before: both nodes that know let it run. Now the local table decides first, and a verdict of quarantine is taken over. The log line of each refusal is gone, as the line of the attempt has reason and fingerprint.

--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -30,11 +30,12 @@
 
 // plugin implements kernel.Quarantine.
 type plugin struct {
-	k        *kernel.Kernel
-	log      *zap.Logger
-	ctx      context.Context
-	cancel   context.CancelFunc
-	rejected metrics.Counter
+	k       *kernel.Kernel
+	log     *zap.Logger
+	cfg     quarantine.Config
+	ctx     context.Context
+	cancel  context.CancelFunc
+	refused metrics.Counter
 
 	active atomic.Bool // the table is not empty
 
@@ -45,9 +46,10 @@
 }
 
 func newQuarantine(k *kernel.Kernel) *plugin {
+	cfg := quarantine.DefaultConfig()
 	q := &plugin{
-		k: k, log: k.Log, table: quarantine.New(quarantine.DefaultConfig()), recordRevision: map[quarantine.Fingerprint]uint64{},
-		rejected: metrics.GetOrRegisterCounter("quarantine.rejected", k.Metrics),
+		k: k, log: k.Log, cfg: cfg, table: quarantine.New(cfg), recordRevision: map[quarantine.Fingerprint]uint64{},
+		refused: metrics.GetOrRegisterCounter("quarantine.refused", k.Metrics),
 	}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	return q
@@ -72,42 +74,56 @@
 
 // Admit implements kernel.Quarantine.
 func (q *plugin) Admit(ctx context.Context, f quarantine.Fingerprint, attempt string, deadline time.Time) (kernel.Permit, call.Result) {
-	if !q.active.Load() {
-		return kernel.Permit{}, call.Result{}
-	}
-	crashes := 0
-	q.update(func(t *quarantine.Table) { crashes = t.Crashes(f) })
-	if crashes == 0 {
-		return kernel.Permit{}, call.Result{}
-	}
-	for {
-		asked := time.Now()
-		v := q.acquire(ctx, f, attempt, crashes)
+	for q.active.Load() {
+		v := q.decide(ctx, f, attempt)
 		switch v.Kind {
-		case quarantine.Unsuspected: // cleared meanwhile
-			q.update(func(t *quarantine.Table) { t.Clear(f, asked) })
+		case quarantine.Unsuspected:
 			return kernel.Permit{}, call.Result{}
 		case quarantine.Granted:
 			return kernel.Permit{Holder: attempt}, call.Result{}
 		case quarantine.Quarantined:
-			return kernel.Permit{}, q.reject(f, attempt, call.ReasonQuarantined, retryAfterQuarantine)
+			return kernel.Permit{}, q.refuse(call.ReasonQuarantined, retryAfterQuarantine)
 		}
 		wait := max(v.Wait, pollInterval)
 		if !time.Now().Add(wait).Before(deadline) {
-			return kernel.Permit{}, q.reject(f, attempt, call.ReasonSuspect, max(v.Wait, retryAfterSuspect))
+			return kernel.Permit{}, q.refuse(call.ReasonSuspect, max(v.Wait, retryAfterSuspect))
 		}
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return kernel.Permit{}, q.reject(f, attempt, call.ReasonSuspect, retryAfterSuspect)
+			return kernel.Permit{}, q.refuse(call.ReasonSuspect, retryAfterSuspect)
 		}
 	}
+	return kernel.Permit{}, call.Result{}
+}
+
+// decide returns the verdict about a request: that of its coordinator if it is suspect
+// here.
+func (q *plugin) decide(ctx context.Context, f quarantine.Fingerprint, attempt string) quarantine.Verdict {
+	crashes := 0
+	q.update(func(t *quarantine.Table) { crashes = t.Crashes(f) })
+	switch {
+	case crashes == 0:
+		return quarantine.Verdict{Kind: quarantine.Unsuspected}
+	case crashes >= q.cfg.CrashLimit:
+		return quarantine.Verdict{Kind: quarantine.Quarantined}
+	}
+	asked := time.Now()
+	v := q.acquire(ctx, f, attempt, crashes)
+	q.update(func(t *quarantine.Table) {
+		switch v.Kind {
+		case quarantine.Unsuspected: // cleared meanwhile
+			t.Clear(f, asked)
+		case quarantine.Quarantined:
+			t.Quarantine(f, asked)
+		}
+	})
+	return v
 }
 
-// reject returns the refusal of a request and logs it.
-func (q *plugin) reject(f quarantine.Fingerprint, attempt string, reason call.Reason, retryAfter time.Duration) call.Result {
-	q.rejected.Inc(1)
-	q.log.Info("request_not_run", zap.Stringer("fingerprint", f), zap.String("attempt", attempt), zap.String("reason", string(reason)), zap.Duration("retry_after", retryAfter))
+// refuse returns the refusal of a request.
+func (q *plugin) refuse(reason call.Reason, retryAfter time.Duration) call.Result {
+	q.refused.Inc(1)
 	return call.Result{Outcome: call.Refused, Reason: reason, RetryAfter: retryAfter}
 }
 
--- a/plugin/quarantine/quarantine_test.go
+++ b/plugin/quarantine/quarantine_test.go
@@ -193,3 +193,20 @@
 		}
 	}
 }
+
+// TestQuarantineHoldsAgainstNodesThatDoNotKnow lets nodes join after a request was
+// quarantined, without its record. A node that knows must refuse it, whoever coordinates.
+func TestQuarantineHoldsAgainstNodesThatDoNotKnow(t *testing.T) {
+	net := newNetwork(t, 2)
+	for i := range 3 {
+		net.nodes["n0"].Crashed(fmt.Sprint("s", i), []quarantine.Fingerprint{killer})
+	}
+	for i := range 50 {
+		net.add(t, fmt.Sprint("later-", i))
+	}
+	for _, id := range []string{"n0", "n1"} {
+		if _, reason := net.admit(id, "x", time.Second); reason != call.ReasonQuarantined {
+			t.Errorf("%s: %q", id, reason)
+		}
+	}
+}
--- a/plugin/quarantine/spread.go
+++ b/plugin/quarantine/spread.go
@@ -27,9 +27,9 @@
 	reportTimeout = time.Second
 	reportWait    = 100 * time.Millisecond
 
-	// coordinators is the number of nodes that are asked for a permit, one after the
+	// coordinatorCount is the number of nodes that are asked for a permit, one after the
 	// other. The second one is asked if the first does not answer.
-	coordinators = 2
+	coordinatorCount = 2
 )
 
 // broadcastCrash tells all other nodes of a crash. It returns once they have answered or
@@ -84,7 +84,7 @@
 // they know the same members, whether it may run. If no coordinator answers, a request
 // that may be quarantined by its next crash waits, and any other runs.
 func (q *plugin) acquire(ctx context.Context, f quarantine.Fingerprint, attempt string, crashes int) quarantine.Verdict {
-	ctx, cancel := context.WithTimeout(ctx, coordinators*permitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, coordinatorCount*permitTimeout)
 	defer cancel()
 	for _, m := range q.coordinators(f) {
 		if m.ID == q.k.NodeID {
@@ -94,7 +94,7 @@
 			return v
 		}
 	}
-	if crashes >= quarantine.DefaultConfig().CrashLimit-1 {
+	if crashes >= q.cfg.CrashLimit-1 {
 		return quarantine.Verdict{Kind: quarantine.Busy}
 	}
 	return quarantine.Verdict{Kind: quarantine.Granted}
@@ -119,7 +119,7 @@
 		}
 	}
 	var list []membership.Member
-	for _, id := range execution.Holders(f.String(), ids, coordinators) {
+	for _, id := range execution.Holders(f.String(), ids, coordinatorCount) {
 		list = append(list, byID[id])
 	}
 	return list
@@ -173,7 +173,7 @@
 // without one.
 func (q *plugin) returnPermit(f quarantine.Fingerprint, p kernel.Permit, complete bool) {
 	req := &wire.PermitRequest{Fingerprint: uint64(f), Holder: p.Holder, Return: true, Clear: complete}
-	ctx, cancel := context.WithTimeout(q.ctx, coordinators*permitTimeout)
+	ctx, cancel := context.WithTimeout(q.ctx, coordinatorCount*permitTimeout)
 	defer cancel()
 	for _, m := range q.coordinators(f) {
 		if m.ID == q.k.NodeID {
