directory: a watch that ends without changes skips none

The platform announces such times ("watches hear nothing for a second while changes are made"). Now the next watch asks from the same revision again, and gets the changes or the word that the history is gone. The event store_watch_heard_nothing tells when it happens.

--- a/plugin/directory/directory_test.go
+++ b/plugin/directory/directory_test.go
@@ -80,7 +80,13 @@
 
 func (f *testFleet) start(t *testing.T, name, addr, url string) *testNode {
 	t.Helper()
-	testStore = kv.NewClient(url, kv.DefaultOptions())
+	return f.startWith(t, name, addr, url, func(s store.Store) store.Store { return s })
+}
+
+// startWith starts a node whose store wrap returns.
+func (f *testFleet) startWith(t *testing.T, name, addr, url string, wrap func(store.Store) store.Store) *testNode {
+	t.Helper()
+	testStore = wrap(kv.NewClient(url, kv.DefaultOptions()))
 	s := &settings.Settings{}
 	s.Node.ID = name
 	s.Node.Region = "r"
--- a/plugin/directory/follow.go
+++ b/plugin/directory/follow.go
@@ -99,6 +99,14 @@
 	if revision < after {
 		d.log.Error("store_lost_state", zap.Uint64("seen", after), zap.Uint64("now", revision))
 	}
+	if !whole && len(entries) == 0 {
+		// A watch that ends without changes at a higher revision has not heard of some:
+		// the next one asks for them again.
+		if revision > after {
+			d.log.Warn("store_watch_heard_nothing", zap.Uint64("after", after), zap.Uint64("now", revision))
+		}
+		return false, false
+	}
 	d.k.Control.Do(func() { d.apply(entries, revision, whole) })
 	return false, len(entries) > 0
 }
