--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -188,11 +188,10 @@
 
 // TargetStatus is the state of the target role as shown on the status page.
 type TargetStatus struct {
-	Backend  BackendInfo   `json:"backend"`
-	Leaving  bool          `json:"leaving"` // shutting down, or no backend server is served
-	Pressure call.Pressure `json:"pressure"`
-	Running  int           `json:"running"`
-
+	Backend   BackendInfo    `json:"backend"`
+	Leaving   bool           `json:"leaving"` // shutting down, or no backend server is served
+	Pressure  call.Pressure  `json:"pressure"`
+	Running   int            `json:"running"`
 	RateLimit call.RateLimit `json:"rate_limit"` // announced by the backend server
 }
 
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -50,10 +50,9 @@
 	}
 	a := &attempt{
 		t: t, id: id, head: head, body: body,
-		deadline:  now.Add(time.Duration(head.GetTimeoutMs()) * time.Millisecond),
-		allowance: retry.NewAllowance(int(head.GetRetries())),
-		decided:   make(chan admission.Action, 1),
-
+		deadline:    now.Add(time.Duration(head.GetTimeoutMs()) * time.Millisecond),
+		allowance:   retry.NewAllowance(int(head.GetRetries())),
+		decided:     make(chan admission.Action, 1),
 		fingerprint: quarantine.NewFingerprint(head.GetOrigin(), head.GetMethod(), requestHost(head), head.GetTarget(), body),
 	}
 	res := a.run(ctx, w)
