directory: an acknowledged drain also binds the next process after a planned stop

Cause: a node that stops as planned revokes its lease, which deletes the record that tells the next process which start of the backend server has ended; a late report of that start was then believed. After a kill the record stays, and that was tested. Now a record that names an ended start is left to its lease of 8 s. TestDrainSurvivesPlannedRestart fails before, for a drain and for a departure, and passes after; TestDrainSurvivesNodeKill holds. A node that is removed for good leaves its record for up to 8 s too, as after a kill.

--- a/plugin/directory/directory.go
+++ b/plugin/directory/directory.go
@@ -94,12 +94,18 @@
 	return nil
 }
 
-// Stop implements kernel.Plugin. Revoking the lease deletes the record of the node.
+// Stop implements kernel.Plugin. Revoking the lease deletes the record of the node. A
+// record that names an ended start of the backend server is left to its lease, because
+// the next process of the node must not believe a late report of that start.
 func (d *directory) Stop(ctx context.Context) error {
 	d.cancel()
 	var lease string
-	d.k.Control.Do(func() { lease = d.registration.Lease() })
-	if lease == "" || d.store == nil {
+	var ended bool
+	d.k.Control.Do(func() {
+		lease = d.registration.Lease()
+		ended = d.self.Ended.Instance != ""
+	})
+	if lease == "" || ended || d.store == nil {
 		return nil
 	}
 	return d.store.Revoke(ctx, lease)
