quarantine: only the coordinator of a request quarantines it

Found while reading: each node counted the crashes of a request by itself, but heard of complete answers only for the runs at its own server. A popular request that ran at three crashes within ten minutes was quarantined at a node that had not got it in between, although other servers answered it all the time (TestPopularRequestRunsAtAnIdleNode: refused as quarantined, in 3 of 3 runs before). Now a node that counts crashes asks the coordinator, which hears of every complete answer and drops the crashes from before it; crashes carry their own times. The coordinator writes the record. The tests of the crashing request pass three times over (at most four crashes, none after a restart of all nodes).

--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -100,13 +100,13 @@
 // decide returns the verdict about a request: that of its coordinator if it is suspect
 // here.
 func (q *plugin) decide(ctx context.Context, f quarantine.Fingerprint, attempt string) quarantine.Verdict {
-	crashes := 0
-	q.update(func(t *quarantine.Table) { crashes = t.Crashes(f) })
+	crashes, quarantined := 0, false
+	q.update(func(t *quarantine.Table) { crashes, quarantined = len(t.Known(f)), t.Quarantined(f) })
 	switch {
+	case quarantined:
+		return quarantine.Verdict{Kind: quarantine.Quarantined}
 	case crashes == 0:
 		return quarantine.Verdict{Kind: quarantine.Unsuspected}
-	case crashes >= q.cfg.CrashLimit:
-		return quarantine.Verdict{Kind: quarantine.Quarantined}
 	}
 	asked := time.Now()
 	v := q.acquire(ctx, f, attempt, crashes)
@@ -134,7 +134,7 @@
 	}
 	suspect := false
 	q.update(func(t *quarantine.Table) {
-		if suspect = len(t.History(f).Starts) > 0; suspect && complete {
+		if suspect = len(t.Known(f)) > 0; suspect && complete {
 			t.Clear(f, time.Now())
 		}
 	})
@@ -145,23 +145,28 @@
 
 // Crashed implements kernel.Quarantine.
 func (q *plugin) Crashed(start string, requests []quarantine.Fingerprint) {
-	q.recordCrash(start, requests, true)
+	q.recordCrash(start, requests)
 	q.broadcastCrash(start, requests)
 }
 
-// recordCrash records a crash in the table. If it was seen here, the requests that are
-// quarantined by it are also written to the store.
-func (q *plugin) recordCrash(start string, requests []quarantine.Fingerprint, seenHere bool) {
-	var found []quarantine.Fingerprint
-	q.update(func(t *quarantine.Table) { found = t.RecordCrash(start, requests, time.Now()) })
-	for _, f := range found {
-		q.logQuarantined(f, start)
-		if seenHere {
-			go q.writeRecord(f, start)
+// recordCrash records a crash in the table, and quarantines the requests that this node
+// coordinates and that have crashed enough servers. Other nodes ask first: only the
+// coordinator hears of every complete answer.
+func (q *plugin) recordCrash(start string, requests []quarantine.Fingerprint) {
+	var due []quarantine.Fingerprint
+	now := time.Now()
+	q.update(func(t *quarantine.Table) { due = t.RecordCrash(start, requests, now) })
+	for _, f := range due {
+		if q.coordinators(f)[0].ID != q.k.NodeID {
+			continue
 		}
+		q.update(func(t *quarantine.Table) { t.Quarantine(f, now) })
+		q.announceQuarantine(f)
 	}
 }
 
-func (q *plugin) logQuarantined(f quarantine.Fingerprint, lastCrash string) {
-	q.log.Warn("request_quarantined", zap.Stringer("fingerprint", f), zap.String("last_crash", lastCrash))
+// announceQuarantine logs that this node has quarantined a request, and writes its record.
+func (q *plugin) announceQuarantine(f quarantine.Fingerprint) {
+	q.log.Warn("request_quarantined", zap.Stringer("fingerprint", f))
+	go q.writeRecord(f)
 }
--- a/plugin/quarantine/quarantine_test.go
+++ b/plugin/quarantine/quarantine_test.go
@@ -210,3 +210,22 @@
 		}
 	}
 }
+
+// TestPopularRequestRunsAtAnIdleNode crashes servers one after the other, each while it
+// runs a request that one node's server answers in between. Another node, which got the
+// request not once meanwhile, must let it run.
+func TestPopularRequestRunsAtAnIdleNode(t *testing.T) {
+	net := newNetwork(t, 8)
+	for crash := range 3 {
+		net.nodes["n0"].Crashed(fmt.Sprint("s", crash), []quarantine.Fingerprint{killer})
+		permit, reason := net.admit("n1", "x", time.Second)
+		if reason != call.ReasonNone {
+			t.Fatalf("after crash %d: %q", crash+1, reason)
+		}
+		net.nodes["n1"].Return(killer, permit, true)
+		time.Sleep(20 * time.Millisecond) // the coordinators hear of it
+	}
+	if _, reason := net.admit("n7", "x", time.Second); reason != call.ReasonNone {
+		t.Errorf("at the idle node: %q", reason)
+	}
+}
--- a/plugin/quarantine/record.go
+++ b/plugin/quarantine/record.go
@@ -15,7 +15,7 @@
 
 const (
 	// recordPrefix is the key prefix of quarantined requests in the store. The
-	// fingerprint follows; the value is the last crash.
+	// fingerprint follows; the value is the node that wrote it.
 	recordPrefix = "quarantine/"
 
 	recordTimeout    = time.Second // of one write
@@ -24,13 +24,13 @@
 
 // writeRecord writes a quarantined request to the store, from which nodes that were
 // restarted or cut off learn of it. It tries until the store holds the record.
-func (q *plugin) writeRecord(f quarantine.Fingerprint, lastCrash string) {
+func (q *plugin) writeRecord(f quarantine.Fingerprint) {
 	if q.k.Store == nil {
 		return
 	}
 	for q.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(q.ctx, recordTimeout)
-		_, err := q.k.Store.CompareAndSwap(ctx, recordPrefix+f.String(), []byte(lastCrash), 0, "")
+		_, err := q.k.Store.CompareAndSwap(ctx, recordPrefix+f.String(), []byte(q.k.NodeID), 0, "")
 		cancel()
 		if err == nil || errs.KindOf(err) == errs.Conflict {
 			return // a conflict means that another node has written it
@@ -51,7 +51,7 @@
 func (q *plugin) restoreRecord(f quarantine.Fingerprint) {
 	select {
 	case <-time.After(rand.N(restoreSpread)):
-		q.writeRecord(f, "restored")
+		q.writeRecord(f)
 	case <-q.ctx.Done():
 	}
 }
--- a/plugin/quarantine/spread.go
+++ b/plugin/quarantine/spread.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -76,7 +75,7 @@
 	for _, f := range report.GetFingerprints() {
 		requests = append(requests, quarantine.Fingerprint(f))
 	}
-	q.recordCrash(report.GetStart(), requests, false)
+	q.recordCrash(report.GetStart(), requests)
 	return wire.Encode(&wire.CrashReply{}), nil
 }
 
@@ -101,8 +100,16 @@
 }
 
 // acquireHere decides on a request that this node coordinates.
-func (q *plugin) acquireHere(f quarantine.Fingerprint, attempt string) (v quarantine.Verdict) {
-	q.update(func(t *quarantine.Table) { v = t.Acquire(f, attempt, time.Now()) })
+func (q *plugin) acquireHere(f quarantine.Fingerprint, attempt string) quarantine.Verdict {
+	var v quarantine.Verdict
+	known := false
+	q.update(func(t *quarantine.Table) {
+		known = t.Quarantined(f)
+		v = t.Acquire(f, attempt, time.Now())
+	})
+	if v.Kind == quarantine.Quarantined && !known {
+		q.announceQuarantine(f)
+	}
 	return v
 }
 
@@ -130,8 +137,7 @@
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	var reply wire.PermitReply
-	req := &wire.PermitRequest{Fingerprint: uint64(f), Holder: attempt}
-	req.Starts, req.LastCrashAgeMs = q.encodeHistory(f)
+	req := &wire.PermitRequest{Fingerprint: uint64(f), Holder: attempt, Crashes: q.knownCrashes(f)}
 	payload, err := q.k.Transport.Exchange(ctx, m.Addr, permitTopic, wire.Encode(req))
 	if err == nil {
 		err = wire.Decode(payload, &reply)
@@ -140,33 +146,32 @@
 		q.log.Info("permit_request_failed", zap.String("member", m.ID), zap.Stringer("fingerprint", f), zap.Error(err))
 		return quarantine.Verdict{}, err
 	}
-	q.merge(f, reply.GetStarts(), reply.GetLastCrashAgeMs())
+	q.merge(f, reply.GetCrashes())
 	return quarantine.Verdict{Kind: verdictFromWire[reply.GetVerdict()], Wait: time.Duration(reply.GetWaitMs()) * time.Millisecond}, nil
 }
 
-// encodeHistory returns what this node knows of a request, for a message.
-func (q *plugin) encodeHistory(f quarantine.Fingerprint) (starts []string, ageMS uint32) {
+// knownCrashes returns the crashes that this node counts against a request, for a
+// message.
+func (q *plugin) knownCrashes(f quarantine.Fingerprint) []*wire.Crash {
+	var list []*wire.Crash
+	now := time.Now()
 	q.update(func(t *quarantine.Table) {
-		h := t.History(f)
-		starts, ageMS = slices.Clone(h.Starts), uint32(time.Since(h.LastCrash).Milliseconds())
+		for _, c := range t.Known(f) {
+			list = append(list, &wire.Crash{Start: c.Start, AgeMs: uint32(max(now.Sub(c.At), 0).Milliseconds())})
+		}
 	})
-	return starts, ageMS
+	return list
 }
 
-// merge adds what another node knows of a request. A node that was started or joined
-// lately, like a coordinator that has just become one, has missed reports of crashes.
-func (q *plugin) merge(f quarantine.Fingerprint, starts []string, ageMS uint32) {
-	if len(starts) == 0 {
-		return
-	}
-	found := false
+// merge adds the crashes that another node knows of. A node that was started or joined
+// lately, like a coordinator that has just become one, has missed reports.
+func (q *plugin) merge(f quarantine.Fingerprint, list []*wire.Crash) {
 	now := time.Now()
-	h := quarantine.History{Starts: starts, LastCrash: now.Add(-time.Duration(ageMS) * time.Millisecond)}
-	q.update(func(t *quarantine.Table) { found = t.Merge(f, h, now) })
-	if found {
-		q.logQuarantined(f, starts[len(starts)-1])
-		go q.writeRecord(f, starts[len(starts)-1])
+	var crashes []quarantine.Crash
+	for _, c := range list {
+		crashes = append(crashes, quarantine.Crash{Start: c.GetStart(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)})
 	}
+	q.update(func(t *quarantine.Table) { t.Merge(f, crashes) })
 }
 
 // returnPermit gives a permit back to the coordinators, or clears a request that ran
@@ -209,11 +214,9 @@
 		return wire.Encode(&wire.PermitReply{}), nil
 	}
 	f := quarantine.Fingerprint(req.GetFingerprint())
-	q.merge(f, req.GetStarts(), req.GetLastCrashAgeMs())
+	q.merge(f, req.GetCrashes())
 	v := q.acquireHere(f, req.GetHolder())
-	reply := &wire.PermitReply{Verdict: verdictToWire[v.Kind], WaitMs: uint32(v.Wait.Milliseconds())}
-	reply.Starts, reply.LastCrashAgeMs = q.encodeHistory(f)
-	return wire.Encode(reply), nil
+	return wire.Encode(&wire.PermitReply{Verdict: verdictToWire[v.Kind], WaitMs: uint32(v.Wait.Milliseconds()), Crashes: q.knownCrashes(f)}), nil
 }
 
 var verdictToWire = map[quarantine.VerdictKind]wire.PermitVerdict{
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -35,86 +35,93 @@
 	quarantined map[Fingerprint]time.Time // when it was quarantined
 }
 
+// Crash is the crash of one start of a backend server.
+type Crash struct {
+	Start string
+	At    time.Time
+}
+
 // suspect is a request that was running when a backend server crashed.
 type suspect struct {
-	History
-	holder      string // of the permit, "" if nobody holds it
+	crashes     []Crash // of distinct starts, at least one
+	holder      string  // of the permit, "" if nobody holds it
 	permitUntil time.Time
 }
 
+// lastCrash returns the time of the latest crash.
+func (s *suspect) lastCrash() time.Time {
+	last := s.crashes[0].At
+	for _, c := range s.crashes[1:] {
+		if c.At.After(last) {
+			last = c.At
+		}
+	}
+	return last
+}
+
 // New returns an empty Table.
 func New(cfg Config) *Table {
 	return &Table{cfg: cfg, suspects: map[Fingerprint]*suspect{}, cleared: map[Fingerprint]time.Time{}, quarantined: map[Fingerprint]time.Time{}}
 }
 
 // RecordCrash records that a start of a backend server crashed while it executed the
-// requests, and returns those that are quarantined from now on.
+// requests, and returns those that CrashLimit of them have crashed under. Their
+// coordinator quarantines them.
 func (t *Table) RecordCrash(start string, requests []Fingerprint, now time.Time) []Fingerprint {
 	t.expire(now)
-	var found []Fingerprint
+	var due []Fingerprint
 	for _, f := range requests {
-		if t.Merge(f, History{Starts: []string{start}, LastCrash: now}, now) {
-			found = append(found, f)
+		t.Merge(f, []Crash{{start, now}})
+		if s := t.suspects[f]; s != nil && len(s.crashes) >= t.cfg.CrashLimit {
+			due = append(due, f)
 		}
 	}
-	return found
+	return due
 }
 
-// History is what is known of a suspect request.
-type History struct {
-	Starts    []string // distinct starts of backend servers that crashed while they executed it
-	LastCrash time.Time
-}
-
-// History returns what is known of a suspect request. It is empty for others.
-func (t *Table) History(f Fingerprint) History {
+// Known returns the crashes that count against a suspect request.
+func (t *Table) Known(f Fingerprint) []Crash {
 	if s := t.suspects[f]; s != nil {
-		return s.History
+		return s.crashes
 	}
-	return History{}
+	return nil
 }
 
-// Merge adds what another node knows of a request, and reports whether the request is
-// quarantined from now on. Crashes from before the request was cleared do not count.
-func (t *Table) Merge(f Fingerprint, h History, now time.Time) bool {
-	if _, ok := t.quarantined[f]; ok || len(h.Starts) == 0 || !h.LastCrash.After(t.cleared[f]) {
-		return false
-	}
-	s := t.suspects[f]
-	if s == nil {
-		s = t.add(f)
+// Merge adds crashes that another node knows of. Those from before the request was
+// cleared do not count.
+func (t *Table) Merge(f Fingerprint, crashes []Crash) {
+	if t.Quarantined(f) {
+		return
 	}
-	for _, start := range h.Starts {
-		if slices.Contains(s.Starts, start) {
+	for _, c := range crashes {
+		if !c.At.After(t.cleared[f]) {
 			continue
 		}
-		s.Starts = append(s.Starts, start)
-		s.holder = ""
-		if h.LastCrash.After(s.LastCrash) {
-			s.LastCrash = h.LastCrash
+		s := t.suspects[f]
+		if s == nil {
+			s = t.add(f, c)
+		}
+		if !slices.ContainsFunc(s.crashes, func(known Crash) bool { return known.Start == c.Start }) {
+			s.crashes = append(s.crashes, c)
+			s.holder = ""
 		}
 	}
-	if len(s.Starts) < t.cfg.CrashLimit {
-		return false
-	}
-	t.Quarantine(f, now)
-	return true
 }
 
-// add adds a suspect. If the table is full, the one with the fewest crashes leaves, of
-// these the one whose last crash is the oldest.
-func (t *Table) add(f Fingerprint) *suspect {
+// add adds a suspect with its first crash. If the table is full, the one with the fewest
+// crashes leaves, of these the one whose last crash is the oldest.
+func (t *Table) add(f Fingerprint, first Crash) *suspect {
 	if len(t.suspects) >= t.cfg.MaxSuspects {
 		var least Fingerprint
 		var leaving *suspect
 		for g, s := range t.suspects {
-			if leaving == nil || len(s.Starts) < len(leaving.Starts) || len(s.Starts) == len(leaving.Starts) && s.LastCrash.Before(leaving.LastCrash) {
+			if leaving == nil || len(s.crashes) < len(leaving.crashes) || len(s.crashes) == len(leaving.crashes) && s.lastCrash().Before(leaving.lastCrash()) {
 				least, leaving = g, s
 			}
 		}
 		delete(t.suspects, least)
 	}
-	s := &suspect{}
+	s := &suspect{crashes: []Crash{first}}
 	t.suspects[f] = s
 	return s
 }
@@ -122,7 +129,7 @@
 // expire forgets suspects that did not come again.
 func (t *Table) expire(now time.Time) {
 	for f, s := range t.suspects {
-		if now.Sub(s.LastCrash) > t.cfg.SuspectTTL {
+		if now.Sub(s.lastCrash()) > t.cfg.SuspectTTL {
 			delete(t.suspects, f)
 		}
 	}
@@ -158,8 +165,11 @@
 // Clear clears a suspect, because the request was answered completely at the given time.
 // Later crashes count.
 func (t *Table) Clear(f Fingerprint, at time.Time) {
-	if s := t.suspects[f]; s != nil && !s.LastCrash.After(at) {
-		delete(t.suspects, f)
+	if s := t.suspects[f]; s != nil {
+		s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool { return !c.At.After(at) })
+		if len(s.crashes) == 0 {
+			delete(t.suspects, f)
+		}
 	}
 	if len(t.cleared) >= t.cfg.MaxSuspects {
 		clear(t.cleared)
@@ -172,32 +182,30 @@
 // Empty reports whether every request may run.
 func (t *Table) Empty() bool { return len(t.suspects)+len(t.quarantined) == 0 }
 
-// Crashes returns how many backend servers are known to have crashed while they executed
-// the request, at most CrashLimit.
-func (t *Table) Crashes(f Fingerprint) int {
-	if _, ok := t.quarantined[f]; ok {
-		return t.cfg.CrashLimit
-	}
-	if s := t.suspects[f]; s != nil {
-		return len(s.Starts)
-	}
-	return 0
+// Quarantined reports whether the request must not run.
+func (t *Table) Quarantined(f Fingerprint) bool {
+	_, ok := t.quarantined[f]
+	return ok
 }
 
-// Acquire decides whether a request may run, and grants a suspect the permit to run if
-// nobody holds it. holder identifies the attempt.
+// Acquire decides for the coordinator of a request whether it may run, and grants a
+// suspect the permit to run if nobody holds it. A request with CrashLimit crashes is
+// quarantined. holder identifies the attempt.
 func (t *Table) Acquire(f Fingerprint, holder string, now time.Time) Verdict {
-	if _, ok := t.quarantined[f]; ok {
-		return Verdict{Kind: Quarantined}
-	}
 	s := t.suspects[f]
-	if s == nil {
+	if s != nil && len(s.crashes) >= t.cfg.CrashLimit {
+		t.Quarantine(f, now)
+	}
+	switch {
+	case t.Quarantined(f):
+		return Verdict{Kind: Quarantined}
+	case s == nil:
 		return Verdict{Kind: Unsuspected}
 	}
 	if s.holder != "" && s.holder != holder && now.Before(s.permitUntil) {
 		return Verdict{Kind: Busy}
 	}
-	if recovered := s.LastCrash.Add(t.cfg.RecoveryDelay); len(s.Starts) >= t.cfg.CrashLimit-1 && now.Before(recovered) {
+	if recovered := s.lastCrash().Add(t.cfg.RecoveryDelay); len(s.crashes) >= t.cfg.CrashLimit-1 && now.Before(recovered) {
 		return Verdict{Kind: Busy, Wait: recovered.Sub(now)}
 	}
 	s.holder = holder
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -120,7 +120,7 @@
 		for i := range 30 {
 			requests = append(requests, Fingerprint(1000*(crash+1)+i))
 		}
-		found := table.RecordCrash(fmt.Sprint("s", crash), requests, now)
+		due := table.RecordCrash(fmt.Sprint("s", crash), requests, now)
 		for _, f := range requests[1:] {
 			if v := table.Acquire(f, "x", now); v.Kind != Granted {
 				t.Fatalf("a request that ran at one crash may not run again: %+v", v)
@@ -130,8 +130,8 @@
 				t.Fatalf("a request that was answered is still suspect: %+v", v)
 			}
 		}
-		if want := crash == 2; slices.Contains(found, killer) != want || len(found) > 1 {
-			t.Errorf("crash %d: quarantined %v", crash+1, found)
+		if want := crash == 2; slices.Contains(due, killer) != want || len(due) > 1 {
+			t.Errorf("crash %d: to be quarantined %v", crash+1, due)
 		}
 		now = now.Add(table.cfg.RecoveryDelay)
 	}
@@ -146,9 +146,9 @@
 	table := New(DefaultConfig())
 	for range 5 {
 		table.RecordCrash("s1", []Fingerprint{killer}, epoch)
-		table.Merge(killer, History{Starts: []string{"s1"}, LastCrash: epoch}, epoch)
+		table.Merge(killer, []Crash{{"s1", epoch}})
 	}
-	if n := table.Crashes(killer); n != 1 {
+	if n := len(table.Known(killer)); n != 1 {
 		t.Errorf("%d crashes", n)
 	}
 }
@@ -169,10 +169,10 @@
 		order := rapid.Permutation([]int{0, 1, 2, 0, 1, 2}).Draw(t, "order")
 		last := New(cfg)
 		for _, i := range order {
-			last.Merge(killer, tables[i].History(killer), epoch)
+			last.Merge(killer, tables[i].Known(killer))
 		}
-		if last.Crashes(killer) != len(seen) {
-			t.Fatalf("%d of %d crashes known", last.Crashes(killer), len(seen))
+		if len(last.Known(killer)) != len(seen) {
+			t.Fatalf("%d of %d crashes known", len(last.Known(killer)), len(seen))
 		}
 	})
 }
@@ -192,7 +192,7 @@
 	if len(table.suspects) > cfg.MaxSuspects || len(table.quarantined) > cfg.MaxQuarantined {
 		t.Errorf("%d suspects, %d quarantined", len(table.suspects), len(table.quarantined))
 	}
-	if table.Crashes(killer) != 2 || table.Crashes(Fingerprint(5499)) != cfg.CrashLimit {
+	if len(table.Known(killer)) != 2 || !table.Quarantined(Fingerprint(5499)) {
 		t.Error("the request with most crashes, or the last one that was quarantined, has left")
 	}
 	table.RecordCrash("d", nil, epoch.Add(2*cfg.SuspectTTL))
@@ -228,13 +228,13 @@
 		x.RecordCrash("s1", []Fingerprint{killer}, epoch)
 	}
 	table.Clear(killer, epoch.Add(time.Second))
-	table.Merge(killer, other.History(killer), epoch.Add(2*time.Second))
-	if n := table.Crashes(killer); n != 0 {
+	table.Merge(killer, other.Known(killer))
+	if n := len(table.Known(killer)); n != 0 {
 		t.Errorf("%d crashes after a complete answer", n)
 	}
 	table.RecordCrash("s2", []Fingerprint{killer}, epoch.Add(3*time.Second))
 	table.Clear(killer, epoch.Add(2*time.Second))
-	if n := table.Crashes(killer); n != 1 {
+	if n := len(table.Known(killer)); n != 1 {
 		t.Errorf("%d crashes after the next one", n)
 	}
 }
