--- a/kernel/control.go
+++ b/kernel/control.go
@@ -12,24 +12,32 @@
 // Control runs the single goroutine that owns the control state of a node.
 // Goroutines that serve traffic never wait for it; they read immutable snapshots.
 type Control struct {
-	queue     chan func()
+	queue     chan controlTask
 	stopped   chan struct{} // closed by stop
 	done      chan struct{} // closed once run has returned
 	stopOnce  sync.Once
 	busyNanos atomic.Int64
+	waits     peak // of queued functions
+}
+
+// controlTask is a function for the control goroutine and the time at which it was queued.
+type controlTask struct {
+	run    func()
+	queued time.Time
 }
 
 func newControl() *Control {
-	return &Control{queue: make(chan func(), controlQueueLen), stopped: make(chan struct{}), done: make(chan struct{})}
+	return &Control{queue: make(chan controlTask, controlQueueLen), stopped: make(chan struct{}), done: make(chan struct{})}
 }
 
 func (c *Control) run() {
 	defer close(c.done)
 	for {
 		select {
-		case f := <-c.queue:
+		case t := <-c.queue:
 			began := time.Now()
-			f()
+			c.waits.observe(began, began.Sub(t.queued))
+			t.run()
 			c.busyNanos.Add(int64(time.Since(began)))
 		case <-c.stopped:
 			return
@@ -41,6 +49,10 @@
 // queued functions.
 func (c *Control) Busy() time.Duration { return time.Duration(c.busyNanos.Load()) }
 
+// Wait returns the longest time that a queued function has waited for its turn in the last
+// one to two seconds.
+func (c *Control) Wait() time.Duration { return c.waits.longest(time.Now()) }
+
 // Go queues f for the control goroutine without waiting for it to run. It
 // returns false if the queue is full or the node has stopped; f then never runs.
 func (c *Control) Go(f func()) bool {
@@ -50,7 +62,7 @@
 	default:
 	}
 	select {
-	case c.queue <- f:
+	case c.queue <- controlTask{f, time.Now()}:
 		return true
 	default:
 		return false
@@ -63,7 +75,7 @@
 func (c *Control) Do(f func()) bool {
 	ran := make(chan struct{})
 	select {
-	case c.queue <- func() { f(); close(ran) }:
+	case c.queue <- controlTask{func() { f(); close(ran) }, time.Now()}:
 	case <-c.stopped:
 		return false
 	}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -29,6 +29,7 @@
 	Metrics  metrics.Registry
 	Sampler  *logging.Sampler // selects the requests that are logged
 	Control  *Control
+	Pulse    *Pulse
 	NodeID   string // unique per process start
 
 	Profiles   Profiles
@@ -109,7 +110,10 @@
 // of the first one whose setup failed.
 func New(s *settings.Settings, nodeID string, log *zap.Logger, reg metrics.Registry) (*Kernel, error) {
 	k := &Kernel{Settings: s, Sampler: logging.NewSampler(s.Log.Sample), NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Records: newRecords(), Routes: &route.ActiveTable{}, Drain: newDrain(), Bodies: newBodyBudget(s)}
+	k.Pulse = newPulse(log, k.Control)
 	k.registerBodyGauges()
+	metrics.NewRegisteredFunctionalGauge("process.delay_us", reg, func() int64 { return k.Pulse.Delay().Microseconds() })
+	metrics.NewRegisteredFunctionalGauge("control.wait_us", reg, func() int64 { return k.Control.Wait().Microseconds() })
 	metrics.NewRegisteredFunctionalGauge("control.busy_us", reg, func() int64 { return k.Control.Busy().Microseconds() })
 	metrics.NewRegisteredFunctionalGauge("requests.in_flight", reg, func() int64 { return int64(k.Drain.InFlight()) })
 	metrics.NewRegisteredFunctionalGauge("log.requests_ordinary", reg, func() int64 { n, _ := k.Sampler.Skipped(); return int64(n) })
@@ -132,6 +136,7 @@
 // Start stops those already started and returns the error.
 func (k *Kernel) Start(ctx context.Context) error {
 	go k.Control.run()
+	go k.Pulse.run()
 	for i, p := range k.plugins {
 		if err := p.plugin.Start(ctx); err != nil {
 			k.stop(ctx, k.plugins[:i])
@@ -166,4 +171,5 @@
 		}
 	}
 	k.Control.stop()
+	k.Pulse.stop()
 }
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -17,15 +17,20 @@
 // in a goroutine of its own.
 type Writer struct {
 	lines     chan []byte // nil requests a flush
+	reserved  int         // entries of lines that only lines about control state may use
 	dropped   atomic.Uint64
 	flushed   chan struct{} // one value per flush
 	done      chan struct{}
 	closeOnce sync.Once
 }
 
+// reservedFraction is the part of the buffer that is kept for lines about control state, as
+// its divisor.
+const reservedFraction = 8
+
 // NewWriter starts a writer to out that buffers at most buffer lines.
 func NewWriter(out io.Writer, buffer int) *Writer {
-	w := &Writer{lines: make(chan []byte, buffer), flushed: make(chan struct{}, 1), done: make(chan struct{})}
+	w := &Writer{lines: make(chan []byte, buffer), reserved: buffer / reservedFraction, flushed: make(chan struct{}, 1), done: make(chan struct{})}
 	go w.run(out)
 	return w
 }
@@ -74,9 +79,17 @@
 	b.buf, b.lines = b.buf[:0], 0
 }
 
-// Write queues one line, or drops and counts it if the buffer is full. It never
-// blocks and always returns len(p) and no error.
+// Write queues one line, or drops and counts it if only the reserved part of the buffer is
+// left. It never blocks and always returns len(p) and no error.
 func (w *Writer) Write(p []byte) (int, error) {
+	if len(w.lines) >= cap(w.lines)-w.reserved {
+		w.dropped.Add(1)
+		return len(p), nil
+	}
+	return w.queue(p)
+}
+
+func (w *Writer) queue(p []byte) (int, error) {
 	line := make([]byte, len(p))
 	copy(line, p)
 	select {
@@ -118,6 +131,23 @@
 	<-w.done
 }
 
+// controlWriter writes lines about control state, which may use the whole buffer.
+type controlWriter struct{ *Writer }
+
+// Write implements io.Writer like Writer.Write.
+func (w controlWriter) Write(p []byte) (int, error) { return w.queue(p) }
+
+// core writes lines to a Writer. control writes them with the reserved part of its buffer.
+type core struct {
+	zapcore.Core
+	control zapcore.Core
+}
+
+// With implements zapcore.Core.
+func (c *core) With(fields []zapcore.Field) zapcore.Core {
+	return &core{c.Core.With(fields), c.control.With(fields)}
+}
+
 // New returns a logger that writes logfmt lines to w from the given level up
 // ("debug", "info", "warn" or "error"). It fails if zap does not know the level.
 func New(w *Writer, level string) (*zap.Logger, error) {
@@ -129,5 +159,17 @@
 	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	cfg.MessageKey = "event"
 	cfg.EncodeDuration = zapcore.StringDurationEncoder
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(cfg), w, lvl)), nil
+	enc := zaplogfmt.NewEncoder(cfg)
+	return zap.New(&core{zapcore.NewCore(enc, w, lvl), zapcore.NewCore(enc, controlWriter{w}, lvl)}), nil
+}
+
+// Control returns a logger for lines about control state. They are dropped only if they
+// fill the buffer themselves, not if lines about requests do.
+func Control(log *zap.Logger) *zap.Logger {
+	return log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		if c, ok := c.(*core); ok {
+			return c.control
+		}
+		return c
+	}))
 }
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -62,3 +63,27 @@
 	}
 	w.Close()
 }
+
+// TestControlLinesSurviveAFloodOfRequestLines fills the buffer with lines about requests while
+// the output is blocked. A line about control state must still be written.
+func TestControlLinesSurviveAFloodOfRequestLines(t *testing.T) {
+	var out bytes.Buffer
+	b := blockedWriter{release: make(chan struct{})}
+	w := NewWriter(io.MultiWriter(b, &out), 64)
+	log, err := New(w, "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 200 {
+		log.Info("request")
+	}
+	Control(log.With(zap.Int("node", 7))).Info("desired_state_in_force")
+	close(b.release)
+	w.Close()
+	if !strings.Contains(out.String(), "event=desired_state_in_force node=7") {
+		t.Fatal("the line about control state was dropped")
+	}
+	if w.Dropped() == 0 {
+		t.Fatal("no line was dropped, so the buffer was not full")
+	}
+}
--- /dev/null
+++ b/node/memory.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"math"
+	"runtime/debug"
+	runtimemetrics "runtime/metrics"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// memoryInterval is the time between two looks at the garbage collector.
+const memoryInterval = 250 * time.Millisecond
+
+// memoryWatch measures what the garbage collector costs.
+type memoryWatch struct {
+	samples    []runtimemetrics.Sample // gc, user: processor time in seconds, updated at the end of a collection
+	gc, user   float64                 // of the last look
+	gcPermille atomic.Int64            // of the processor time that the process used until the end of the last collection
+}
+
+func newMemoryWatch(reg metrics.Registry) *memoryWatch {
+	w := &memoryWatch{samples: []runtimemetrics.Sample{{Name: "/cpu/classes/gc/total:cpu-seconds"}, {Name: "/cpu/classes/user:cpu-seconds"}}}
+	metrics.NewRegisteredFunctionalGauge("process.gc_permille", reg, w.gcPermille.Load)
+	metrics.NewRegisteredFunctionalGauge("process.memory_limit_bytes", reg, func() int64 { return debug.SetMemoryLimit(-1) })
+	return w
+}
+
+// run looks at the garbage collector until stop is closed.
+func (w *memoryWatch) run(stop <-chan struct{}) {
+	ticker := time.NewTicker(memoryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			w.look()
+		case <-stop:
+			return
+		}
+	}
+}
+
+// look measures the part of the processor time that the garbage collector took since the
+// last look.
+func (w *memoryWatch) look() {
+	runtimemetrics.Read(w.samples)
+	gc, user := w.samples[0].Value.Float64(), w.samples[1].Value.Float64()
+	if used := gc - w.gc + user - w.user; used > 0 {
+		w.gcPermille.Store(int64(math.Round(1000 * (gc - w.gc) / used)))
+	} else {
+		w.gcPermille.Store(0)
+	}
+	w.gc, w.user = gc, user
+}
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,7 @@
 	settings   *settings.Settings
 	configPath string
 	kernel     *kernel.Kernel
+	memory     *memoryWatch
 	log        *zap.Logger
 	logWriter  *logging.Writer
 	logFile    *os.File
@@ -66,6 +67,7 @@
 	// address is never mistaken for the previous process.
 	id := s.Node.ID + "-" + uuid.NewString()[:8]
 	reg := metrics.NewRegistry()
+	n.memory = newMemoryWatch(reg)
 	metrics.NewRegisteredFunctionalGauge("log.dropped", reg, func() int64 { return int64(n.logWriter.Dropped()) })
 	n.kernel, err = kernel.New(s, id, n.log, reg)
 	if err != nil {
@@ -122,6 +124,7 @@
 		zap.Duration("grace", n.settings.Bounds.Grace), zap.Float64("retry_ratio", n.settings.Bounds.RetryRatio), zap.Float64("retry_slack", n.settings.Bounds.RetrySlack),
 		zap.Duration("revoke", n.settings.Bounds.Revoke), zap.Bool("revoke_fail_closed", n.settings.Bounds.RevokeFailClosed))
 	go n.watchSettings()
+	go n.memory.run(n.exited)
 	select {
 	case <-n.kernel.Drain.Requested():
 		n.Exit()
--- a/plugin/directory/directory.go
+++ b/plugin/directory/directory.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/logging"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
 	"github.com/dogwoodhatch/dogwoodhatch/replica"
@@ -53,12 +54,14 @@
 	registrationWake chan struct{}     // signals that the registration may have a next step
 	storeCalls       metrics.Counter
 	storeFailures    metrics.Counter
+	syncTook         metrics.Gauge   // time from the last request for state to its reply, in microseconds
+	syncFailures     metrics.Counter // requests for state without a reply
 }
 
 func newDirectory(k *kernel.Kernel) *directory {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d := &directory{
-		k: k, log: k.Log, store: k.Store,
+		k: k, log: logging.Control(k.Log), store: k.Store,
 		table: replica.New(), fleet: membership.NewFleet(membership.DefaultConfig()), catalog: profile.NewCatalog(),
 		lost:             lostRecords{},
 		registration:     membership.NewRegistration(membership.DefaultRegistrationConfig(), rng),
@@ -69,6 +72,8 @@
 		registrationWake: make(chan struct{}, 1),
 		storeCalls:       metrics.GetOrRegisterCounter("store.calls", k.Metrics),
 		storeFailures:    metrics.GetOrRegisterCounter("store.failures", k.Metrics),
+		syncTook:         metrics.GetOrRegisterGauge("sync.took_us", k.Metrics),
+		syncFailures:     metrics.GetOrRegisterCounter("sync.failures", k.Metrics),
 	}
 	if addr := k.Settings.Listen.AdvertisePeer; addr != "" {
 		d.self.Addr = addr
--- a/plugin/directory/sync.go
+++ b/plugin/directory/sync.go
@@ -104,12 +104,15 @@
 	if err == nil {
 		err = wire.Decode(payload, reply)
 	}
+	took := time.Duration(d.clock() - asked)
 	if err != nil {
+		d.syncFailures.Inc(1)
 		if d.failing.add(id, time.Now()) {
-			d.log.Info("sync_failed", zap.String("member", id), zap.String("addr", addr), zap.Error(err))
+			d.log.Info("sync_failed", zap.String("member", id), zap.String("addr", addr), zap.Duration("took", took), zap.Duration("age", d.storeAge()), zap.Error(err))
 		}
 		return
 	}
+	d.syncTook.Update(took.Microseconds())
 	d.failing.remove(id)
 	if reply.GetUnknown() {
 		return
