--- a/plugin/directory/directory_test.go
+++ b/plugin/directory/directory_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,7 +40,8 @@
 // testNode is a kernel in which the directory is the only real plug-in.
 type testNode struct {
 	*kernel.Kernel
-	addr string
+	addr        string
+	answerDelay atomic.Int64 // of the answers to the node's exchanges, in ns
 }
 
 // testFleet holds the nodes of a test by address.
@@ -58,15 +60,24 @@
 type fleetTransport struct {
 	kernel.Transport
 	fleet *testFleet
+	node  *testNode
 }
 
-func (tr fleetTransport) Exchange(_ context.Context, addr, topic string, payload []byte) ([]byte, error) {
+func (tr fleetTransport) Exchange(ctx context.Context, addr, topic string, payload []byte) ([]byte, error) {
 	n := tr.fleet.nodeAt(addr)
 	if n == nil {
 		return nil, errs.New(errs.Unavailable, "ask another node", "no node at %s", addr)
 	}
 	h, _ := n.Exchanges.Handler(topic)
-	return h("", payload)
+	reply, err := h("", payload)
+	if delay := time.Duration(tr.node.answerDelay.Load()); delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return reply, err
 }
 
 func startStore(t *testing.T) (*standin.Server, *standin.Endpoint, string) {
@@ -95,8 +106,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	k.Transport = fleetTransport{fleet: f}
-	n := &testNode{k, addr}
+	n := &testNode{Kernel: k, addr: addr}
+	k.Transport = fleetTransport{fleet: f, node: n}
 	f.mu.Lock()
 	f.nodes[addr] = n
 	f.mu.Unlock()
