memlimit: the soft memory limit follows the cost of collections

Cause: the soft memory limit was fixed at 48 MiB. The calls in flight of a busy node fill it with goroutines and buffers, and the collector then runs all the time; slower calls are in flight for longer, which holds the state up. Class of fault: a fixed bound on one resource that is paid for with another one under load.

Change: the limit rises while collections take more than 0.2 of the processor time used, to half of the memory of the VM, and sinks to 48 MiB again when they are cheap. A limit computed from the live heap was ruled out (it knows neither stacks nor what a collection costs), a fixed higher one too (large copies of the state would take it without need).

--- a/apps/dogwoodhatch-node/main.go
+++ b/apps/dogwoodhatch-node/main.go
@@ -12,18 +12,15 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/dogwoodhatch/dogwoodhatch/memlimit"
 	"github.com/dogwoodhatch/dogwoodhatch/node"
 )
 
 // exitUsage is the exit status for errors in the command line or the settings.
 const exitUsage = 2
 
-// memoryLimit is the soft memory limit of the Go runtime, in bytes. It is low
-// because the node shares its VM with a backend server.
-const memoryLimit = 48 << 20
-
 func main() {
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetMemoryLimit(memlimit.MinLimit) // the node raises it while collections cost too much
 	var opts struct {
 		Config string `short:"c" long:"config" env:"DOGWOODHATCH_NODE_FILE" required:"true" value-name:"FILE" description:"settings file (INI)"`
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -67,7 +67,7 @@
 	// address is never mistaken for the previous process.
 	id := s.Node.ID + "-" + uuid.NewString()[:8]
 	reg := metrics.NewRegistry()
-	n.memory = newMemoryWatch(reg)
+	n.memory = newMemoryWatch(n.log, reg)
 	metrics.NewRegisteredFunctionalGauge("log.dropped", reg, func() int64 { return int64(n.logWriter.Dropped()) })
 	n.kernel, err = kernel.New(s, id, n.log, reg)
 	if err != nil {
