node: the cost of collections is measured against processor time that was used

The time used is now that of the process, over four looks, and at least a tenth of a core; collections on idle processors are left out.

--- a/node/memory.go
+++ b/node/memory.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 	runtimemetrics "runtime/metrics"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -14,21 +15,36 @@
 	"github.com/dogwoodhatch/dogwoodhatch/memlimit"
 )
 
-// memoryInterval is the time between two looks at the garbage collector.
-const memoryInterval = 250 * time.Millisecond
+const (
+	// memoryInterval is the time between two looks at the garbage collector.
+	memoryInterval = 250 * time.Millisecond
+	// memoryLooks is the number of looks over which its cost is measured, because its figures
+	// change only at the end of a collection.
+	memoryLooks = 4
+	// minUsed is the processor time in seconds against which the cost of collections is measured
+	// at least. Collections of a node that does little cost little, whatever their part is.
+	minUsed = 0.1 * float64(memoryLooks) * float64(memoryInterval) / float64(time.Second)
+)
+
+// processorTime is the processor time since the start of the process, in seconds.
+type processorTime struct{ gc, used float64 }
 
 // memoryWatch measures what the garbage collector costs, and sets the soft memory limit of the
 // Go runtime accordingly.
 type memoryWatch struct {
 	log        *zap.Logger
 	controller *memlimit.Controller
-	samples    []runtimemetrics.Sample // gc, user: processor time in seconds, updated at the end of a collection
-	gc, user   float64                 // of the last look
-	gcPermille atomic.Int64            // of the processor time that the process used until the end of the last collection
+	samples    []runtimemetrics.Sample // collections in all, and those on idle processors
+	looks      [memoryLooks]processorTime
+	next       int // index of the oldest look
+	gcPermille atomic.Int64
 }
 
 func newMemoryWatch(log *zap.Logger, reg metrics.Registry) *memoryWatch {
-	w := &memoryWatch{log: logging.Control(log), controller: memlimit.New(memlimit.DefaultConfig(memlimit.Available())), samples: []runtimemetrics.Sample{{Name: "/cpu/classes/gc/total:cpu-seconds"}, {Name: "/cpu/classes/user:cpu-seconds"}}}
+	w := &memoryWatch{
+		log: logging.Control(log), controller: memlimit.New(memlimit.DefaultConfig(memlimit.Available())),
+		samples: []runtimemetrics.Sample{{Name: "/cpu/classes/gc/total:cpu-seconds"}, {Name: "/cpu/classes/gc/mark/idle:cpu-seconds"}},
+	}
 	metrics.NewRegisteredFunctionalGauge("process.gc_permille", reg, w.gcPermille.Load)
 	metrics.NewRegisteredFunctionalGauge("process.memory_limit_bytes", reg, func() int64 { return debug.SetMemoryLimit(-1) })
 	return w
@@ -48,19 +64,33 @@
 	}
 }
 
-// look measures the part of the processor time that the garbage collector took since the
-// last look, and lets the controller adapt the limit.
+// look measures the part of the processor time that the garbage collector took lately, and lets
+// the controller adapt the limit.
 func (w *memoryWatch) look() {
-	runtimemetrics.Read(w.samples)
-	gc, user := w.samples[0].Value.Float64(), w.samples[1].Value.Float64()
-	cost := 0.0
-	if used := gc - w.gc + user - w.user; used > 0 {
-		cost = (gc - w.gc) / used
+	now, err := w.processorTime()
+	if err != nil {
+		w.log.Error("processor_time_unknown", zap.Error(err))
+		return
 	}
-	w.gc, w.user = gc, user
+	before := w.looks[w.next]
+	w.looks[w.next] = now
+	w.next = (w.next + 1) % memoryLooks
+	cost := (now.gc - before.gc) / max(now.used-before.used, minUsed)
 	w.gcPermille.Store(int64(math.Round(1000 * cost)))
 	if w.controller.Observe(cost) {
 		debug.SetMemoryLimit(w.controller.Limit())
 		w.log.Info("memory_limit", zap.Int64("bytes", w.controller.Limit()), zap.Float64("gc_cost", cost))
 	}
 }
+
+func (w *memoryWatch) processorTime() (processorTime, error) {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return processorTime{}, err
+	}
+	runtimemetrics.Read(w.samples)
+	return processorTime{
+		gc:   w.samples[0].Value.Float64() - w.samples[1].Value.Float64(),
+		used: time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds(),
+	}, nil
+}
