directory: late replies are used

Callers saw requests handled by an older desired state, for up to 14 s, by nodes that were up and connected (CONFIG).

Cause: a node gave a reply to a state comparison 0.5 s and threw away what came later. A node that reads its replies later than that, because it lacks processor time, asked again and again and learned nothing. Class of fault: a time limit that decides both when to try elsewhere and what is still used.

Change: after 0.5 s another node is asked, but the reply is applied if it comes within 5 s; a copy only moves forward, so any order of replies is safe. A wait that itself ended late is not held against the other node. The age of a state is counted from the request, not from the reading of the reply, and a node counts the store as heard only once it has applied what it heard; a watch that hears nothing at a higher revision no longer counts.

--- a/plugin/directory/directory.go
+++ b/plugin/directory/directory.go
@@ -262,9 +262,9 @@
 // clock returns the time since the start of the directory in nanoseconds.
 func (d *directory) clock() int64 { return int64(time.Since(d.started)) }
 
-// confirmStore records that the store answered some node the given time ago.
-func (d *directory) confirmStore(age time.Duration) {
-	at := d.clock() - int64(age)
+// confirmStore records that the store answered some node at the given time, as returned by
+// clock.
+func (d *directory) confirmStore(at int64) {
 	for {
 		old := d.confirmedAt.Load()
 		if at <= old || d.confirmedAt.CompareAndSwap(old, at) {
--- a/plugin/directory/follow.go
+++ b/plugin/directory/follow.go
@@ -96,22 +96,25 @@
 	if err != nil {
 		return d.handleReadError(after, whole, err), false
 	}
-	d.confirmStore(0)
+	answered := d.clock()
 	if revision < after {
 		d.log.Error("store_lost_state", zap.Uint64("seen", after), zap.Uint64("now", revision))
 	}
 	if !whole && len(entries) == 0 {
 		// A watch that ends without changes at a higher revision has not heard of some:
 		// the next one asks for them again.
-		switch {
-		case revision > after:
+		if revision > after {
 			d.log.Warn("store_watch_heard_nothing", zap.Uint64("after", after), zap.Uint64("now", revision))
-		case revision == after:
+			return false, false
+		}
+		d.confirmStore(answered)
+		if revision == after {
 			d.prove(asked)
 		}
 		return false, false
 	}
 	d.k.Control.Do(func() { d.apply(entries, revision, whole) })
+	d.confirmStore(answered)
 	if revision >= after {
 		d.proveIfApplied(asked, revision)
 	}
--- a/plugin/directory/proof_test.go
+++ b/plugin/directory/proof_test.go
@@ -125,7 +125,7 @@
 	n := newFleet().start(t, "a", "127.0.0.1:1", url)
 	waitFor(t, "state", 3*time.Second, func() bool { return n.Replica.ProofAge() < time.Minute })
 	reply := func() *wire.StateReply {
-		payload, err := fleetTransport{fleet: &testFleet{nodes: map[string]*testNode{"x": n}}}.Exchange(context.Background(), "x", stateTopic, wire.Encode(&wire.StateRequest{}))
+		payload, err := fleetTransport{fleet: &testFleet{nodes: map[string]*testNode{"x": n}}, node: n}.Exchange(context.Background(), "x", stateTopic, wire.Encode(&wire.StateRequest{}))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/plugin/directory/sync.go
+++ b/plugin/directory/sync.go
@@ -20,8 +20,15 @@
 
 	// syncInterval is the mean time between two state comparisons with other nodes.
 	syncInterval = 400 * time.Millisecond
-	// syncTimeout is several times the round trip between regions.
-	syncTimeout = 500 * time.Millisecond
+	// syncPatience is how long a node waits for a reply before it asks another node. It is
+	// several times the round trip between regions.
+	syncPatience = 500 * time.Millisecond
+	// lateReplyLimit is how long a reply is used after the request. A node that lacks processor
+	// time reads its replies late; if it discarded them, it would learn of no change at all.
+	lateReplyLimit = 5 * time.Second
+	// lateTolerance is the part of a wait by which this process may run late before a missing
+	// reply is not held against the other node.
+	lateTolerance = 100 * time.Millisecond
 	// hintDelay is how long a node that watches the store waits for the store to
 	// deliver a revision reported by another node, before it asks that node.
 	hintDelay = 250 * time.Millisecond
@@ -91,33 +98,59 @@
 	return partners[rand.IntN(len(partners))], true
 }
 
-// pullState fetches the changes after the own revision from another node. id is ""
-// if the member is not known.
+// pullState fetches the changes after the own revision from another node and waits for them
+// for syncPatience. A later reply is still applied: a copy only moves forward, whatever order
+// replies arrive in. id is "" if the member is not known.
 func (d *directory) pullState(id, addr string) {
-	ctx, cancel := context.WithTimeout(d.ctx, syncTimeout)
+	asked := d.clock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.requestState(id, addr, asked)
+	}()
+	select {
+	case <-done:
+	case <-time.After(syncPatience):
+		if waited := time.Duration(d.clock() - asked); waited < syncPatience+lateTolerance {
+			d.noteSyncFailure(id, addr, asked, nil)
+		}
+	}
+}
+
+// noteSyncFailure counts a request for state without a reply, and excludes the member from
+// further ones for a while.
+func (d *directory) noteSyncFailure(id, addr string, asked int64, err error) {
+	d.syncFailures.Inc(1)
+	if id == "" || d.failing.add(id, time.Now()) {
+		d.log.Info("sync_failed", zap.String("member", id), zap.String("addr", addr), zap.Duration("took", time.Duration(d.clock()-asked)),
+			zap.Duration("age", d.storeAge()), zap.Error(err))
+	}
+}
+
+// requestState asks another node for the changes after the own revision and applies its reply.
+// asked is the time of the request.
+func (d *directory) requestState(id, addr string, asked int64) {
+	ctx, cancel := context.WithTimeout(d.ctx, lateReplyLimit)
 	defer cancel()
 	reply := &wire.StateReply{}
 	req := &wire.StateRequest{Addr: d.self.Addr}
 	req.EraPlus_1, req.After = wire.EncodeRevision(d.revision.Load())
-	asked := d.clock()
 	payload, err := d.k.Transport.Exchange(ctx, addr, stateTopic, wire.Encode(req))
 	if err == nil {
 		err = wire.Decode(payload, reply)
 	}
-	took := time.Duration(d.clock() - asked)
 	if err != nil {
-		d.syncFailures.Inc(1)
-		if d.failing.add(id, time.Now()) {
-			d.log.Info("sync_failed", zap.String("member", id), zap.String("addr", addr), zap.Duration("took", took), zap.Duration("age", d.storeAge()), zap.Error(err))
+		if d.ctx.Err() == nil {
+			d.noteSyncFailure(id, addr, asked, err)
 		}
 		return
 	}
-	d.syncTook.Update(took.Microseconds())
+	d.syncTook.Update(time.Duration(d.clock() - asked).Microseconds())
 	d.failing.remove(id)
 	if reply.GetUnknown() {
 		return
 	}
-	d.confirmStore(time.Duration(reply.GetAgeMs()) * time.Millisecond)
+	defer d.confirmStore(asked - int64(time.Duration(reply.GetAgeMs())*time.Millisecond)) // once the changes are applied
 	revision := wire.DecodeRevision(reply.GetEraPlus_1(), reply.GetRevision(), d.revision.Load())
 	proved, hasProof := decodeProof(reply, asked)
 	if revision <= d.revision.Load() {
