peer, target: silence is judged once this process runs on time

Callers saw calls lost (502) and a server withdrawn at nodes that were late themselves.

Cause: a session was closed when a ping was not answered within 0.5 s, a write failed when it did not get its turn within 0.5 s, and a backend server was withdrawn when its announcement was overdue, each even if the answer or the announcement had arrived and lay unread. The same class as late replies: a time limit that runs on this node's own delay.

Change: before such a conclusion the node waits until its goroutines run on time (20 ms if they do, 2 s at most) and looks again. Writes of sessions wait 2 s; dead VMs are found by unacknowledged bytes and by probes as before.

--- a/kernel/pulse.go
+++ b/kernel/pulse.go
@@ -60,3 +60,23 @@
 }
 
 func (p *Pulse) stop() { p.stopOnce.Do(func() { close(p.stopped) }) }
+
+const (
+	// turnStep is the wait that AwaitTurn measures, and turnTolerance by how much it may end late.
+	turnStep      = 20 * time.Millisecond
+	turnTolerance = 20 * time.Millisecond
+)
+
+// AwaitTurn returns once goroutines of this process run on time, or after limit. Whoever is about
+// to conclude from silence that a partner is gone calls it first: what the partner has sent
+// may lie unread, because this process was late itself.
+func AwaitTurn(limit time.Duration) {
+	for end := time.Now().Add(limit); ; {
+		began := time.Now()
+		time.Sleep(turnStep)
+		now := time.Now()
+		if now.Sub(began) < turnStep+turnTolerance || now.After(end) {
+			return
+		}
+	}
+}
--- a/plugin/peer/config.go
+++ b/plugin/peer/config.go
@@ -23,6 +23,10 @@
 	// closed and its calls are lost. It must exceed the round trip and the scheduling
 	// delay of a loaded VM.
 	ProbeTimeout time.Duration
+	// WriteTimeout is how long a write of a session may wait for its turn, before its call is
+	// lost. A dead VM is found by UnackedTimeout and by probes; a shorter one loses calls because
+	// this node is late.
+	WriteTimeout time.Duration
 	// CheckInterval is the time between checks of all sessions.
 	CheckInterval time.Duration
 	// IdleTimeout is how long a session may carry no calls before it is closed to free
@@ -45,6 +49,7 @@
 		UnackedTimeout: 900 * time.Millisecond,
 		ProbeAfter:     250 * time.Millisecond,
 		ProbeTimeout:   500 * time.Millisecond,
+		WriteTimeout:   2 * time.Second,
 		CheckInterval:  50 * time.Millisecond,
 		IdleTimeout:    5 * time.Minute,
 
@@ -59,7 +64,7 @@
 func (c Config) yamuxConfig(log *zap.Logger) *yamux.Config {
 	y := yamux.DefaultConfig()
 	y.EnableKeepAlive = false
-	y.ConnectionWriteTimeout = c.ProbeTimeout
+	y.ConnectionWriteTimeout = c.WriteTimeout
 	y.AcceptBacklog = c.MaxStreams
 	y.StreamOpenTimeout = 0
 	y.StreamCloseTimeout = time.Minute
--- a/plugin/peer/pool.go
+++ b/plugin/peer/pool.go
@@ -27,6 +27,7 @@
 	dialer  *net.Dialer
 	// exchangeBytes counts the payload bytes of control state exchanges.
 	exchangeBytes metrics.Counter
+	awaitTurn     func(limit time.Duration) // kernel.AwaitTurn but in tests
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -167,20 +168,42 @@
 	}
 }
 
+// maxTurnWait bounds how long the end of a probe waits until this process runs on time.
+const maxTurnWait = 2 * time.Second
+
 // probe pings a silent session. If nothing at all arrives before the ping times out,
 // the session is closed and its calls are lost.
 func (p *pool) probe(s *session) {
 	defer s.probing.Store(false)
 	start := time.Now()
-	_, err := s.mux.Ping()
+	err := p.ping(s)
 	if err == nil || s.lastRead.load().After(start) {
 		return
 	}
+	p.awaitTurn(maxTurnWait)
+	if s.lastRead.load().After(start) {
+		return
+	}
 	p.log.Warn("peer_session_lost", zap.String("addr", s.addr), zap.Int("in_flight", s.inFlight()),
 		zap.Duration("silent", time.Since(s.lastRead.load())), zap.Error(err))
 	p.drop(s)
 }
 
+// ping waits for the answer to a ping for at most ProbeTimeout.
+func (p *pool) ping(s *session) error {
+	answered := make(chan error, 1)
+	go func() {
+		_, err := s.mux.Ping()
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err
+	case <-time.After(p.cfg.ProbeTimeout):
+		return errs.New(errs.Unavailable, "retry at another node", "no answer to a ping within %v", p.cfg.ProbeTimeout)
+	}
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -38,6 +38,7 @@
 	refused      metrics.Meter
 	unknown      metrics.Meter
 	handedBack   metrics.Counter
+	awaitTurn    func(limit time.Duration) // kernel.AwaitTurn but in tests
 
 	mu                    sync.Mutex
 	controller            *admission.Controller
@@ -47,6 +48,7 @@
 	backend               kernel.BackendInfo
 	serving               bool // a backend server has announced itself and was not withdrawn
 	leaving               bool
+	lapsing               bool // lapse runs
 	renewedAt             time.Time
 	rateTracker           lifecycle.RateTracker // of the current start of the backend server
 	executions            map[string]*running   // running executions by token
@@ -69,6 +71,7 @@
 	t := &target{
 		k:                     k,
 		log:                   k.Log,
+		awaitTurn:             kernel.AwaitTurn,
 		started:               metrics.GetOrRegisterMeter("target.started", k.Metrics),
 		callsWaiting:          make(chan struct{}, 1),
 		registry:              execution.NewRegistry(execution.DefaultRegistryConfig()),
@@ -167,7 +170,30 @@
 	defer t.mu.Unlock()
 	t.registry.Expire(now)
 	t.recordMembers(now)
-	if t.serving && now.Sub(t.renewedAt) > t.k.Settings.Backend.AnnounceTTL {
+	if t.announcementOverdue(now) && !t.lapsing {
+		t.lapsing = true
+		go t.lapse()
+	}
+}
+
+// announcementOverdue reports whether the backend server has not renewed its announcement in
+// time. The caller must hold mu.
+func (t *target) announcementOverdue(now time.Time) bool {
+	return t.serving && now.Sub(t.renewedAt) > t.k.Settings.Backend.AnnounceTTL
+}
+
+// maxTurnWait bounds the wait until this process runs on time, so that an announcement which
+// has arrived is read.
+const maxTurnWait = 2 * time.Second
+
+// lapse stops serving a backend server whose announcement is overdue, unless this process was
+// late and finds a newer one.
+func (t *target) lapse() {
+	t.awaitTurn(maxTurnWait)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lapsing = false
+	if now := time.Now(); t.announcementOverdue(now) {
 		t.log.Warn("backend_lapsed", zap.String("service", t.backend.Service), zap.String("addr", t.backend.Address))
 		t.stopServing(now)
 	}
