--- a/plugin/peer/client.go
+++ b/plugin/peer/client.go
@@ -229,7 +229,7 @@
 	if _, err := protodelim.MarshalTo(st.mux, head); err != nil {
 		return errs.Wrap(err, errs.Unknown, "ask again over a new connection", "request to node %s may have been lost", addr)
 	}
-	if err := readMessage(st.br, reply); err != nil {
+	if err := readReply(st.br, reply); err != nil {
 		return errs.Wrap(err, errs.Unknown, "ask again over a new connection", "reply of node %s was lost", addr)
 	}
 	return nil
--- a/plugin/peer/frame.go
+++ b/plugin/peer/frame.go
@@ -17,16 +17,25 @@
 
 const (
 	chunkBytes    = 32 << 10 // largest part of a body in one Data frame
-	maxFrameBytes = 1 << 20  // largest message
+	maxFrameBytes = 1 << 20  // largest message of a call
+	maxReplyBytes = 64 << 20 // largest reply to another message, such as the state of all members
 )
 
-var frameOptions = protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
+var (
+	frameOptions = protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
+	replyOptions = protodelim.UnmarshalOptions{MaxSize: maxReplyBytes}
+)
 
 // readMessage reads one length-prefixed message. It returns io.ErrUnexpectedEOF if
 // the stream ends before the end of the message, the error of the connection if that is
 // lost, and an error of kind errs.Invalid for a malformed message.
-func readMessage(r *bufio.Reader, m proto.Message) error {
-	err := frameOptions.UnmarshalFrom(r, m)
+func readMessage(r *bufio.Reader, m proto.Message) error { return unmarshalFrom(r, m, frameOptions) }
+
+// readReply reads one reply like readMessage, up to maxReplyBytes.
+func readReply(r *bufio.Reader, m proto.Message) error { return unmarshalFrom(r, m, replyOptions) }
+
+func unmarshalFrom(r *bufio.Reader, m proto.Message, opts protodelim.UnmarshalOptions) error {
+	err := opts.UnmarshalFrom(r, m)
 	switch {
 	case err == nil:
 		return nil
--- a/plugin/peer/pool.go
+++ b/plugin/peer/pool.go
@@ -47,6 +47,7 @@
 		cfg: cfg, log: k.Log, sourceNode: k.NodeID, yamuxConfig: cfg.yamuxConfig(k.Log), replica: k.Replica,
 		dialer:        sockopt.Dialer(cfg.DialTimeout, cfg.UnackedTimeout),
 		exchangeBytes: metrics.GetOrRegisterCounter("control.exchange_bytes", k.Metrics),
+		awaitTurn:     kernel.AwaitTurn,
 		sessions:      map[string]*session{}, dials: map[string]*pendingDial{},
 	}
 }
