Entries and messages of other programs name no server and stop nobody

Other operators saw nodes end again and again, or stop following the store, after another writer left one odd entry (processes that end, LOST).

A node that starts without the store got no state at all, and one that lags whole no longer follows (message size exceeded, every time). A record of a node that another program had replaced was never written again, so nodes that start later did not find the member. Deeply nested values were rejected before, by each decoder.

Class of fault: figures taken as they stand, and state held and passed on that nobody reads.

--- a/kernel/records.go
+++ b/kernel/records.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"slices"
 	"strings"
 	"sync"
 
@@ -16,6 +17,7 @@
 type Records struct {
 	mu       sync.RWMutex
 	handlers map[string]RecordHandler // by key prefix
+	read     []string                 // further prefixes of keys that the node reads
 }
 
 func newRecords() *Records { return &Records{handlers: map[string]RecordHandler{}} }
@@ -28,6 +30,26 @@
 	r.mu.Unlock()
 }
 
+// Read declares that the node reads the keys with a prefix without a handler.
+func (r *Records) Read(prefix string) {
+	r.mu.Lock()
+	r.read = append(r.read, prefix)
+	r.mu.Unlock()
+}
+
+// Wanted reports whether the node reads a key. Other programs keep keys of their own in the
+// store.
+func (r *Records) Wanted(key string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for prefix := range r.handlers {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(r.read, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+}
+
 // Deliver passes a change to every handler whose prefix matches the key. Changes
 // of other keys are ignored.
 func (r *Records) Deliver(e store.Entry) {
--- a/membership/member.go
+++ b/membership/member.go
@@ -60,6 +60,10 @@
 // Key returns the record key of the node with that name.
 func Key(node string) string { return Prefix + node }
 
+// MaxSlots is the highest number of slots that a backend server may report. A higher figure is
+// malformed.
+const MaxSlots = 1 << 20
+
 // maxNameBytes is the maximum length of each name in a record.
 const maxNameBytes = 128
 
@@ -90,8 +94,12 @@
 			return Member{}, errs.New(errs.Invalid, "use shorter names", "record %q contains a name of %d bytes, which is too long", key, len(name))
 		}
 	}
-	if _, err := netip.ParseAddrPort(m.Addr); err != nil {
+	addr, err := netip.ParseAddrPort(m.Addr)
+	if err != nil {
 		return Member{}, errs.Wrap(err, errs.Invalid, "check which process writes keys below "+Prefix, "invalid address %q in record %q", m.Addr, key)
 	}
+	if addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() || record.GetSlots() > MaxSlots {
+		return Member{}, errs.New(errs.Invalid, "check which process writes keys below "+Prefix, "record %q names no backend server that can be called: address %q, %d slots", key, m.Addr, record.GetSlots())
+	}
 	return m, nil
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -250,7 +250,7 @@
 	}
 	run(time.Second, true)
 	s.revoke()
-	r.ObserveChange(s.lastRevision, true)
+	r.ObserveChange(s.lastRevision, true, false)
 	calls := run(8*time.Second, false)
 	if calls[Grant] > 1 || calls[Renew] == 0 {
 		t.Errorf("calls during the outage: %v, want renewals and at most one grant", calls)
--- a/membership/registration.go
+++ b/membership/registration.go
@@ -73,10 +73,11 @@
 func (r *Registration) SetRecord(record []byte) { r.wanted = record }
 
 // ObserveChange records a change of the node's own key that a watch of the store
-// reported. deleted says whether the change deleted the key. Changes up to the known
-// revision are ignored. After a change of a newer era, which a restored store reports,
-// the record is written again under a new lease.
-func (r *Registration) ObserveChange(revision uint64, deleted bool) {
+// reported. deleted says whether the change deleted the key, foreign whether another program
+// has replaced the record by something that is none; it is then written again. Changes up to
+// the known revision are ignored. After a change of a newer era, which a restored store
+// reports, the record is written again under a new lease.
+func (r *Registration) ObserveChange(revision uint64, deleted, foreign bool) {
 	if revision <= r.knownRevision {
 		return
 	}
@@ -87,6 +88,9 @@
 	if deleted {
 		r.knownRevision = 0
 	}
+	if foreign {
+		r.written = nil
+	}
 	if deleted || restored {
 		// The lease expired, was revoked or was lost by the store, so a new one is
 		// needed.
--- a/plugin/directory/directory.go
+++ b/plugin/directory/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -160,9 +161,11 @@
 }
 
 // apply updates the copy with entries as of a revision and applies the resulting
-// changes. whole says that entries are the complete state rather than changes. It
+// changes. whole says that entries are the complete state rather than changes. Entries
+// that nobody here reads are left out: they would be held and passed on by every node. It
 // runs on the control goroutine.
 func (d *directory) apply(entries []store.Entry, revision uint64, whole bool) {
+	entries = slices.DeleteFunc(entries, func(e store.Entry) bool { return !d.k.Records.Wanted(e.Key) })
 	first := d.table.Revision() == 0
 	var changes []store.Entry
 	if whole {
@@ -200,8 +203,9 @@
 }
 
 func (d *directory) applyMember(e store.Entry) {
+	m, err := membership.Decode(e.Key, e.Value, e.Revision)
 	if e.Key == d.ownKey() {
-		d.registration.ObserveChange(e.Revision, e.Deleted)
+		d.registration.ObserveChange(e.Revision, e.Deleted, !e.Deleted && err != nil)
 		d.wakeRegistration()
 	}
 	if e.Deleted {
@@ -210,7 +214,6 @@
 		}
 		return
 	}
-	m, err := membership.Decode(e.Key, e.Value, e.Revision)
 	if err != nil {
 		d.log.Warn("member_rejected", zap.String("key", e.Key), zap.Uint64("revision", e.Revision), zap.Error(err))
 		return
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -6,6 +6,8 @@
 
 import (
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/membership"
+	"github.com/dogwoodhatch/dogwoodhatch/profile"
 )
 
 func init() { kernel.Register("directory", kernel.StageState, setup) }
@@ -15,6 +17,9 @@
 	k.Profiles = d
 	k.Fleet = d
 	k.Replica = d
+	for _, prefix := range []string{membership.Prefix, profile.KindProfile.Prefix(), profile.KindService.Prefix(), profile.KindTeams.Prefix()} {
+		k.Records.Read(prefix)
+	}
 	k.Exchanges.Handle(stateTopic, d.serveState)
 	return d, nil
 }
