backend: a refusal proves only that its own request did not run

Other operators saw callers told 'not run' for requests that a server had run, or a second run of them (REFUSED, TWICE), after a server wrote an earlier refusal once more on a kept connection.

Shown here in the client of the backend server: TestRepeatedRefusalProvesNothing failed in all five forms (copy without an id, with the id of the same request sent again, of another server, without ids at all, and in the own interface). Through two nodes it did not happen before either (TestRepeatedRefusalThroughTwoNodes passes on the code before): the target leaves the body of a refusal unread, so its connection is closed. That is an accident of another place; nothing kept it so.

Cause: an answer is attributed by its id if it has one, otherwise by its place on the connection; the same id may have been sent twice.

Change: a connection on which a request was refused is not used for requests that run at most once; idempotent ones go on using it, so refusals cost no connections (TestIdempotentRequestsReuseConnectionsAfterRefusals). On a connection whose answers name their requests, one that names none is nobody's (TestAnswerWithoutIDIsNobodysOnceAnswersHaveIDs failed before).

A head that is cut short is no answer: each prefix of seven heads, with a length, in chunks, without either, after an interim answer, gave an error before and does (TestHeadThatIsCutShortIsNoAnswer, TestHeadsCutShortThroughTwoNodes with requests behind it on the connection): shown not to happen. Peer sessions carry one attempt on a stream at a time and close a stream with unread bytes; status checks only open a connection.

--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -339,6 +339,7 @@
 	Unproved      bool        // the status says that the call did not run, but the proof is missing
 	OtherInstance bool        // a different start of a backend server now has the address and did not run the call
 	OtherRequest  bool        // the response belongs to a different request
+	NamesRequest  bool        // the response names the request that it belongs to
 	Load          BackendLoad // zero if not reported
 	RateLimit     call.RateLimit
 	Leaving       bool // the backend server accepts no new calls
--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -148,6 +148,9 @@
 			return nil, err
 		}
 		report := x.backend.dialect.Decode(resp.StatusCode, resp.Header, x.req)
+		if !report.NamesRequest && x.conn.named {
+			return nil, errs.New(errs.Unavailable, "check the backend server", "a response with status %d names no request, unlike earlier ones on the connection", resp.StatusCode)
+		}
 		if !report.OtherRequest {
 			return x.response(resp, report), nil
 		}
@@ -179,6 +182,8 @@
 func (x *exchange) response(resp *http.Response, report kernel.BackendReport) *kernel.BackendResponse {
 	body := &responseBody{x: x, rc: resp.Body, reusable: !resp.Close && !x.skippedAny && hasExplicitEnd(resp)}
 	x.conn.maxIdle = keepAliveTime(resp.Header)
+	x.conn.named = report.NamesRequest
+	x.conn.refused = x.conn.refused || report.NotRun || report.OtherInstance
 	return &kernel.BackendResponse{BackendReport: report, Status: resp.StatusCode, Header: resp.Header, Body: body}
 }
 
--- a/plugin/backend/endless_test.go
+++ b/plugin/backend/endless_test.go
@@ -22,7 +22,8 @@
 type requestIDDialect struct{ builtinDialect }
 
 func (d requestIDDialect) Decode(_ int, h http.Header, req *kernel.BackendRequest) kernel.BackendReport {
-	return kernel.BackendReport{OtherRequest: h.Get("X-Id") != "" && h.Get("X-Id") != req.RequestID}
+	id := h.Get("X-Id")
+	return kernel.BackendReport{NamesRequest: id != "", OtherRequest: id != "" && id != req.RequestID}
 }
 
 // endlessResponse reads one request, sends first, and then repeats a piece until the
--- a/plugin/backend/pool.go
+++ b/plugin/backend/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,6 +56,8 @@
 	lastUsed time.Time     // when its last response ended
 
 	idleTime time.Duration // how long it was idle before the present request; 0 for a new connection
+	named    bool          // responses on it name their requests
+	refused  bool          // the backend server has refused a request as not run; a faulty one may repeat that
 
 	readLimited bool // Read fails once readLeft bytes were read
 	readLeft    int
@@ -173,22 +176,27 @@
 	p.learned[c.addr] = learnedIdle{limit: max(minLearnedIdle, time.Duration(learnedIdleFraction*float64(c.idleTime))), since: time.Now()}
 }
 
-// take removes and returns the most recently used idle connection, or returns nil if
-// it has been idle too long for the request. It then stays in the pool for other
-// requests until put closes it.
+// take removes and returns the most recently used idle connection that suits the request, or
+// returns nil if that has been idle too long. It then stays in the pool for other requests
+// until put closes it. A connection on which a request was refused does not suit one that must
+// run at most once: the refusal, written once more, would prove that it did not run.
 func (p *pool) take(addr string, idempotent bool, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
+	at := len(list) - 1
+	for at >= 0 && !idempotent && list[at].refused {
+		at--
+	}
+	if at < 0 {
 		return nil
 	}
-	c := list[len(list)-1]
+	c := list[at]
 	c.idleTime = now.Sub(c.lastUsed)
 	if c.idleTime >= min(c.maxIdle, p.maxIdleFor(addr, idempotent, now)) {
 		return nil
 	}
-	p.idle[addr] = list[:len(list)-1]
+	p.idle[addr] = slices.Delete(list, at, at+1)
 	return c
 }
 
