routing, directory: a server announced again gets calls within the bound

A server that is withdrawn and announced again before the store can be written leaves the record as it was, so no revision comes: callers that it refused in between give it no call for 60 s, where 15 s are allowed. That it is what the operator saw is not shown.

Change: a changed service is always written, even if the record ends up as it was; the hold is 10 s, longer than a leaving node lives, so that at most one call each ten seconds is refused again.

--- a/membership/registration.go
+++ b/membership/registration.go
@@ -72,6 +72,10 @@
 // SetRecord sets the record to keep in the store.
 func (r *Registration) SetRecord(record []byte) { r.wanted = record }
 
+// Rewrite makes the next write happen even if the record is the same as the one in the store.
+// Other nodes tell by its revision that a backend server was announced anew.
+func (r *Registration) Rewrite() { r.written = nil }
+
 // ObserveChange records a change of the node's own key that a watch of the store
 // reported. deleted says whether the change deleted the key, foreign whether another program
 // has replaced the record by something that is none; it is then written again. Changes up to
--- a/plugin/directory/late_test.go
+++ b/plugin/directory/late_test.go
@@ -31,3 +31,26 @@
 	writeKey(t, url, "x/1", []byte("change"))
 	waitFor(t, "the change at the busy node", inForceWithin, func() bool { return value() == "change" })
 }
+
+// TestServiceAnnouncedAgainGetsANewRevision guards against a member whose backend server was withdrawn
+// and announced again before the store could be written: with the record unchanged, nodes that
+// it refused meanwhile do not learn that it serves again.
+func TestServiceAnnouncedAgainGetsANewRevision(t *testing.T) {
+	_, door, url := startStore(t)
+	n := newFleet().start(t, "a", "127.0.0.1:1", url)
+	n.Fleet.Announce("rates", 5)
+	revision := func() uint64 {
+		if m := n.Fleet.Members("rates"); len(m) == 1 {
+			return m[0].Revision
+		}
+		return 0
+	}
+	waitFor(t, "record", 3*time.Second, func() bool { return revision() > 0 })
+	before := revision()
+	door.SetFaults(standin.Faults{Down: true})
+	n.Fleet.Announce("", 0)
+	time.Sleep(200 * time.Millisecond)
+	n.Fleet.Announce("rates", 5)
+	door.SetFaults(standin.Faults{})
+	waitFor(t, "new revision of the record", 4*time.Second, func() bool { return revision() > before })
+}
--- a/plugin/directory/register.go
+++ b/plugin/directory/register.go
@@ -22,6 +22,9 @@
 // Announce implements kernel.Fleet.
 func (d *directory) Announce(service string, slots int) {
 	d.k.Control.Go(func() {
+		if d.self.Service != service {
+			d.registration.Rewrite()
+		}
 		d.self.Service = service
 		d.self.Slots = slots
 		d.registration.SetRecord(d.self.Encode())
--- a/routing/config.go
+++ b/routing/config.go
@@ -103,7 +103,8 @@
 	LastResortInFlight int
 
 	// LeavingHold is how long a member that refused a call because it is leaving
-	// counts as leaving, even if the membership does not say so.
+	// counts as leaving, even if the membership does not say so. A longer one spares calls that
+	// are refused again; a member whose announcement was missed gets none for that long.
 	LeavingHold time.Duration
 
 	// ForgetAfter is how long the state of a member is kept after it has left the
@@ -227,7 +228,7 @@
 		EjectMax:            15 * time.Second,
 		ProbeGrace:          3 * time.Second,
 		LastResortInFlight:  4,
-		LeavingHold:         time.Minute,
+		LeavingHold:         10 * time.Second,
 		ForgetAfter:         time.Minute,
 		PaceHalfLife:        350 * time.Millisecond,
 		SpeedHalfLife:       time.Minute,
