directory: what a silent watch missed is read from the whole state

Two copies could bear the same revision and differ: a watch that ends without changes at a higher revision has not heard of some. The next watch asked for them again, but a store whose watches come back with later changes only would lead the copy past them, and no comparison of revisions shows that later.

The next read is now one of the whole state. TestChangeThatWatchesMissedIsReadFromTheWholeState failed before (the change was missing after 5 s).

--- a/plugin/directory/follow.go
+++ b/plugin/directory/follow.go
@@ -101,11 +101,11 @@
 		d.log.Error("store_lost_state", zap.Uint64("seen", after), zap.Uint64("now", revision))
 	}
 	if !whole && len(entries) == 0 {
-		// A watch that ends without changes at a higher revision has not heard of some:
-		// the next one asks for them again.
+		// A watch that ends without changes at a higher revision has not heard of some. The
+		// next one may answer with later changes only, which would hide those for good.
 		if revision > after {
 			d.log.Warn("store_watch_heard_nothing", zap.Uint64("after", after), zap.Uint64("now", revision))
-			return false, false
+			return true, false
 		}
 		d.confirmStore(answered)
 		if revision == after {
--- a/plugin/directory/watch_test.go
+++ b/plugin/directory/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,3 +49,44 @@
 	quiet.silent.Store(false)
 	waitFor(t, "the change", 5*time.Second, func() bool { return value() == "after" })
 }
+
+// forgetfulStore is a silentStore whose watches never return the changes of one key.
+type forgetfulStore struct {
+	silentStore
+	key string
+}
+
+// Watch implements store.Store.
+func (s *forgetfulStore) Watch(ctx context.Context, prefix string, after uint64) ([]store.Entry, uint64, error) {
+	entries, revision, err := s.silentStore.Watch(ctx, prefix, after)
+	return slices.DeleteFunc(entries, func(e store.Entry) bool { return e.Key == s.key }), revision, err
+}
+
+// TestChangeThatWatchesMissedIsReadFromTheWholeState guards against a copy that reaches a revision
+// without one of the changes before it: no comparison of revisions would ever show that.
+func TestChangeThatWatchesMissedIsReadFromTheWholeState(t *testing.T) {
+	_, _, url := startStore(t)
+	forgetful := &forgetfulStore{key: "test/key"}
+	n := newFleet().startWith(t, "a", "127.0.0.1:1", url, func(s store.Store) store.Store {
+		forgetful.Store = s
+		return forgetful
+	})
+	value := lastValue(n, "test/")
+	writeKey(t, url, "test/other", []byte("before"))
+	waitFor(t, "first change", 3*time.Second, func() bool { return value() == "before" })
+	forgetful.silent.Store(true)
+	writeKey(t, url, "test/key", []byte("missed"))
+	writeKey(t, url, "test/other", []byte("later"))
+	waitFor(t, "watches that hear nothing", 3*time.Second, func() bool { return forgetful.heard.Load() > 0 })
+	forgetful.silent.Store(false)
+	waitFor(t, "the change that watches missed", 5*time.Second, func() bool {
+		e, ok := n.Fleet.(*directory).entry("test/key")
+		return ok && string(e.Value) == "missed"
+	})
+}
+
+// entry returns the entry of a key in the copy.
+func (d *directory) entry(key string) (e store.Entry, ok bool) {
+	d.k.Control.Do(func() { e, ok = d.table.Get(key) })
+	return e, ok
+}
