Names and bounds after a second reading

Samples instead of looks; Records.Declare. The start time of a backend server is bounded by the year 2200 instead of an hour from now: a clock that was set back after the server's start would otherwise have had all its heartbeats rejected.

--- a/kernel/records.go
+++ b/kernel/records.go
@@ -17,7 +17,7 @@
 type Records struct {
 	mu       sync.RWMutex
 	handlers map[string]RecordHandler // by key prefix
-	read     []string                 // further prefixes of keys that the node reads
+	declared []string                 // further prefixes of keys that the node reads
 }
 
 func newRecords() *Records { return &Records{handlers: map[string]RecordHandler{}} }
@@ -30,10 +30,10 @@
 	r.mu.Unlock()
 }
 
-// Read declares that the node reads the keys with a prefix without a handler.
-func (r *Records) Read(prefix string) {
+// Declare registers a prefix of keys that the node reads without a handler.
+func (r *Records) Declare(prefix string) {
 	r.mu.Lock()
-	r.read = append(r.read, prefix)
+	r.declared = append(r.declared, prefix)
 	r.mu.Unlock()
 }
 
@@ -55,7 +55,7 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(r.read, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+	return slices.ContainsFunc(r.declared, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
 }
 
 // Deliver passes a change to every handler whose prefix matches the key. Changes
--- a/membership/member.go
+++ b/membership/member.go
@@ -60,9 +60,13 @@
 // Key returns the record key of the node with that name.
 func Key(node string) string { return Prefix + node }
 
-// MaxSlots is the highest number of slots that a backend server may report. A higher figure is
-// malformed.
-const MaxSlots = 1 << 20
+// Limits of the figures of a backend server. A higher one is malformed.
+const (
+	MaxSlots = 1 << 20
+	// MaxBorn is the latest start time, in milliseconds since the Unix epoch: the year 2200. It
+	// is far ahead, because clocks may be wrong by years until they are set.
+	MaxBorn = 7_258_118_400_000
+)
 
 // maxNameBytes is the maximum length of each name in a record.
 const maxNameBytes = 128
--- a/memlimit/memlimit.go
+++ b/memlimit/memlimit.go
@@ -16,9 +16,9 @@
 	// HighCost is the part of the used processor time that collections may take before the
 	// limit rises. A lower one takes memory earlier.
 	HighCost float64
-	// LowCost is the part below which the limit sinks again, after LowCount looks in a row.
+	// LowCost is the part below which the limit falls again, after LowCount samples in a row.
 	LowCost float64
-	// LowCount is the number of such looks. With fewer the limit sinks between two bursts of
+	// LowCount is the number of such samples. With fewer the limit falls between two bursts of
 	// load.
 	LowCount int
 	// Raise and Lower are the factors of one step.
@@ -31,8 +31,8 @@
 // vmFraction is the part of the memory of the VM that a node may take at most, as its divisor.
 const vmFraction = 2
 
-// DefaultConfig returns settings for a process that looks at its collector some times a second
-// on a VM with that much memory, in bytes.
+// DefaultConfig returns settings for four samples a second on a VM with that much memory, in
+// bytes. The memory of a VM that is not known is 0.
 func DefaultConfig(vm int64) Config {
 	return Config{Min: MinLimit, Max: max(vm/vmFraction, MinLimit), HighCost: 0.2, LowCost: 0.05, LowCount: 40, Raise: 1.3, Lower: 0.9}
 }
@@ -40,9 +40,9 @@
 // Controller raises the limit while collections take too much of the processor time. It is not
 // safe for concurrent use.
 type Controller struct {
-	cfg      Config
-	limit    int64
-	lowLooks int // in a row
+	cfg        Config
+	limit      int64
+	lowSamples int // in a row
 }
 
 // New returns a controller that begins with the minimum.
@@ -51,20 +51,20 @@
 // Limit returns the present limit in bytes.
 func (c *Controller) Limit() int64 { return c.limit }
 
-// Observe takes the part of the processor time used since the last look that collections took,
-// and reports whether the limit has changed.
+// Observe processes one sample, the part of the used processor time that collections took, and
+// reports whether the limit has changed.
 func (c *Controller) Observe(cost float64) (changed bool) {
 	old := c.limit
 	switch {
 	case cost > c.cfg.HighCost:
 		c.limit = min(int64(float64(c.limit)*c.cfg.Raise), c.cfg.Max)
-		c.lowLooks = 0
+		c.lowSamples = 0
 	case cost > c.cfg.LowCost:
-		c.lowLooks = 0
+		c.lowSamples = 0
 	default:
-		if c.lowLooks++; c.lowLooks >= c.cfg.LowCount {
+		if c.lowSamples++; c.lowSamples >= c.cfg.LowCount {
 			c.limit = max(int64(float64(c.limit)*c.cfg.Lower), c.cfg.Min)
-			c.lowLooks = 0
+			c.lowSamples = 0
 		}
 	}
 	return c.limit != old
--- a/memlimit/memlimit_test.go
+++ b/memlimit/memlimit_test.go
@@ -18,7 +18,7 @@
 	return min(1, 0.1*float64(m.live)/float64(headroom))
 }
 
-// TestLimitLeavesRoomForTheLiveHeap draws a VM and a live heap. Within twelve looks collections
+// TestLimitLeavesRoomForTheLiveHeap draws a VM and a live heap. Within twelve samples collections
 // must be cheap, unless the heap needs more than the process may take; once the load has ended,
 // the limit must sink to the minimum again.
 func TestLimitLeavesRoomForTheLiveHeap(t *testing.T) {
--- a/node/memory.go
+++ b/node/memory.go
@@ -16,14 +16,14 @@
 )
 
 const (
-	// memoryInterval is the time between two looks at the garbage collector.
+	// memoryInterval is the time between two samples of the garbage collector's cost.
 	memoryInterval = 250 * time.Millisecond
-	// memoryLooks is the number of looks over which its cost is measured, because its figures
-	// change only at the end of a collection.
-	memoryLooks = 4
+	// memoryWindow is the number of intervals over which the cost is measured, because the
+	// figures of the runtime change only at the end of a collection.
+	memoryWindow = 4
 	// minUsed is the processor time in seconds against which the cost of collections is measured
 	// at least. Collections of a node that does little cost little, whatever their part is.
-	minUsed = 0.1 * float64(memoryLooks) * float64(memoryInterval) / float64(time.Second)
+	minUsed = 0.1 * float64(memoryWindow) * float64(memoryInterval) / float64(time.Second)
 )
 
 // processorTime is the processor time since the start of the process, in seconds.
@@ -34,47 +34,47 @@
 type memoryWatch struct {
 	log        *zap.Logger
 	controller *memlimit.Controller
-	samples    []runtimemetrics.Sample // collections in all, and those on idle processors
-	looks      [memoryLooks]processorTime
-	next       int // index of the oldest look
+	figures    []runtimemetrics.Sample // collections in all, and those on idle processors
+	recent     [memoryWindow]processorTime
+	oldest     int // index in recent
 	gcPermille atomic.Int64
 }
 
 func newMemoryWatch(log *zap.Logger, reg metrics.Registry) *memoryWatch {
 	w := &memoryWatch{
 		log: logging.Control(log), controller: memlimit.New(memlimit.DefaultConfig(memlimit.Available())),
-		samples: []runtimemetrics.Sample{{Name: "/cpu/classes/gc/total:cpu-seconds"}, {Name: "/cpu/classes/gc/mark/idle:cpu-seconds"}},
+		figures: []runtimemetrics.Sample{{Name: "/cpu/classes/gc/total:cpu-seconds"}, {Name: "/cpu/classes/gc/mark/idle:cpu-seconds"}},
 	}
 	metrics.NewRegisteredFunctionalGauge("process.gc_permille", reg, w.gcPermille.Load)
 	metrics.NewRegisteredFunctionalGauge("process.memory_limit_bytes", reg, func() int64 { return debug.SetMemoryLimit(-1) })
 	return w
 }
 
-// run looks at the garbage collector until stop is closed.
+// run samples the cost of the garbage collector until stop is closed.
 func (w *memoryWatch) run(stop <-chan struct{}) {
 	ticker := time.NewTicker(memoryInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			w.look()
+			w.sample()
 		case <-stop:
 			return
 		}
 	}
 }
 
-// look measures the part of the processor time that the garbage collector took lately, and lets
+// sample measures the part of the processor time that the garbage collector took lately, and lets
 // the controller adapt the limit.
-func (w *memoryWatch) look() {
+func (w *memoryWatch) sample() {
 	now, err := w.processorTime()
 	if err != nil {
 		w.log.Error("processor_time_unknown", zap.Error(err))
 		return
 	}
-	before := w.looks[w.next]
-	w.looks[w.next] = now
-	w.next = (w.next + 1) % memoryLooks
+	before := w.recent[w.oldest]
+	w.recent[w.oldest] = now
+	w.oldest = (w.oldest + 1) % memoryWindow
 	cost := (now.gc - before.gc) / max(now.used-before.used, minUsed)
 	w.gcPermille.Store(int64(math.Round(1000 * cost)))
 	if w.controller.Observe(cost) {
@@ -88,9 +88,9 @@
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
 		return processorTime{}, err
 	}
-	runtimemetrics.Read(w.samples)
+	runtimemetrics.Read(w.figures)
 	return processorTime{
-		gc:   w.samples[0].Value.Float64() - w.samples[1].Value.Float64(),
+		gc:   w.figures[0].Value.Float64() - w.figures[1].Value.Float64(),
 		used: time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds(),
 	}, nil
 }
--- a/plugin/directory/register.go
+++ b/plugin/directory/register.go
@@ -15,10 +15,6 @@
 // then with a service would cost an additional call to the store.
 const noBackendDelay = 4 * time.Second
 
-// maxClockError bounds how far the start time of a backend server may lie in the future. An
-// ended start that lies further ahead would outdate every later one.
-const maxClockError = time.Hour
-
 // Announce implements kernel.Fleet.
 func (d *directory) Announce(service string, slots int) {
 	d.k.Control.Go(func() {
@@ -71,7 +67,7 @@
 	if m.ID == d.self.ID || m.Ended.Instance == "" || d.self.Ended.Instance != "" {
 		return
 	}
-	if m.Ended.Born > time.Now().Add(maxClockError).UnixMilli() {
+	if m.Ended.Born > membership.MaxBorn {
 		d.log.Warn("ended_start_rejected", zap.String("member", m.ID), zap.String("instance", m.Ended.Instance), zap.Int64("born", m.Ended.Born))
 		return
 	}
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -18,7 +18,7 @@
 	k.Fleet = d
 	k.Replica = d
 	for _, prefix := range []string{membership.Prefix, profile.KindProfile.Prefix(), profile.KindService.Prefix(), profile.KindTeams.Prefix()} {
-		k.Records.Read(prefix)
+		k.Records.Declare(prefix)
 	}
 	k.Exchanges.Handle(stateTopic, d.serveState)
 	return d, nil
