--- a/bodybudget/default.go
+++ b/bodybudget/default.go
@@ -4,7 +4,7 @@
 	"math"
 	"runtime/debug"
 
-	"github.com/dogwoodhatch/dogwoodhatch/memlimit"
+	"github.com/dogwoodhatch/dogwoodhatch/sysmem"
 )
 
 const (
@@ -19,7 +19,7 @@
 // DefaultLimit returns an eighth of the memory limit of the process: the lower one of
 // GOMEMLIMIT and the limit of its control group.
 func DefaultLimit() int64 {
-	limit := min(debug.SetMemoryLimit(-1), memlimit.CgroupLimit())
+	limit := min(debug.SetMemoryLimit(-1), sysmem.CgroupLimit())
 	if limit == math.MaxInt64 {
 		return unlimitedDefault
 	}
--- a/node/memory.go
+++ b/node/memory.go
@@ -13,6 +13,7 @@
 
 	"github.com/dogwoodhatch/dogwoodhatch/logging"
 	"github.com/dogwoodhatch/dogwoodhatch/memlimit"
+	"github.com/dogwoodhatch/dogwoodhatch/sysmem"
 )
 
 const (
@@ -42,7 +43,7 @@
 
 func newMemoryWatch(log *zap.Logger, reg metrics.Registry) *memoryWatch {
 	w := &memoryWatch{
-		log: logging.Control(log), controller: memlimit.New(memlimit.DefaultConfig(memlimit.Available())),
+		log: logging.Control(log), controller: memlimit.New(memlimit.DefaultConfig(sysmem.Available())),
 		figures: []runtimemetrics.Sample{{Name: "/cpu/classes/gc/total:cpu-seconds"}, {Name: "/cpu/classes/gc/mark/idle:cpu-seconds"}},
 	}
 	metrics.NewRegisteredFunctionalGauge("process.gc_permille", reg, w.gcPermille.Load)
--- a/memlimit/available.go
+++ b/sysmem/sysmem.go
@@ -1,4 +1,5 @@
-package memlimit
+// Package sysmem reads how much memory the process may use.
+package sysmem
 
 import (
 	"bufio"
