entry: announcements that cannot be called are rejected, as heartbeats are

The same fault at the project's own interface: ports 0 and 99999, an address without a host, and negative or absurd slots were taken. TestAnnouncementsWithFiguresOutOfRangeAreRejected failed before.

--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 
@@ -12,6 +13,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/edge"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
+	"github.com/dogwoodhatch/dogwoodhatch/membership"
 )
 
 const (
@@ -91,10 +93,14 @@
 		http.Error(w, "the announcement is malformed; send {\"service\":NAME,\"address\":HOST:PORT}", http.StatusBadRequest)
 		return
 	}
-	if _, _, err := net.SplitHostPort(b.Address); err != nil || b.Service == "" {
+	if !membership.IsCallable(b.Address) || b.Service == "" {
 		http.Error(w, "the announcement needs a service name and an address as HOST:PORT", http.StatusBadRequest)
 		return
 	}
+	if b.Slots < 0 || b.Slots > membership.MaxSlots {
+		http.Error(w, fmt.Sprintf("the announcement needs 0 to %d slots", membership.MaxSlots), http.StatusBadRequest)
+		return
+	}
 	if e.k.Drain.Leaving() {
 		http.Error(w, "this node is leaving; announce again once it was replaced", http.StatusServiceUnavailable)
 		return
