Review case: abandoned answers hold their slots for a minute

Claim (GONE): when clients leave while a large answer arrives, the node beside the backend server neither reads on nor closes the connection to it. The backend server stays busy until it cuts off the answer, and the node counts the slot as used for a minute.

At fault: (*peer).serveBody in plugin/peer/server.go sets no deadline on the write of an answer whose source has closed the stream.

--- a/review/lab/backend.go
+++ b/review/lab/backend.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,8 +25,12 @@
 type execution struct {
 	id, method, path string
 	at               time.Time
+	ended            time.Time // zero while it works, or writes its answer
 }
 
+// unreadLimit is how long an answer may remain unread until the backend server cuts it off.
+const unreadLimit = 5 * time.Second
+
 // backend is a stand-in of a backend server on a machine.
 type backend struct {
 	m     *machine
@@ -107,9 +110,11 @@
 func (b *backend) execute(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 	e := execution{id: r.Header.Get("X-Request-Id"), method: r.Method, path: r.URL.Path, at: time.Now()}
 	b.mu.Lock()
+	at := len(b.executions)
 	b.executions = append(b.executions, e)
 	b.running++
 	b.mu.Unlock()
+	defer b.endExecution(at)
 	b.m.l.noteAt(e.at, "%s: backend server %s runs %s %s id %s", b.m.name, b.opts.id, e.method, e.path, e.id)
 	work := 20 * time.Millisecond
 	if b.opts.work != nil {
@@ -123,9 +128,6 @@
 	case <-ctx.Done():
 		dropped = true
 	}
-	b.mu.Lock()
-	b.running--
-	b.mu.Unlock()
 	if dropped {
 		b.m.l.note("%s: backend server %s drops id %s after %v, since its caller has left or its time is over", b.m.name, b.opts.id, e.id, time.Since(e.at).Round(time.Millisecond))
 		w.WriteHeader(http.StatusGatewayTimeout)
@@ -138,17 +140,36 @@
 	}
 	h := w.Header()
 	h.Set("Content-Length", strconv.Itoa(b.opts.answerBytes))
-	n, err := io.CopyN(w, zeros{}, int64(b.opts.answerBytes))
+	n, err := b.writeZeros(w)
 	b.m.l.note("%s: backend server %s has written %d bytes for id %s, error %v", b.m.name, b.opts.id, n, e.id, err)
 }
 
-// zeros is an endless source of zero bytes.
-type zeros struct{}
+// writeZeros writes an answer of the configured size, and cuts it off if it remains unread.
+func (b *backend) writeZeros(w http.ResponseWriter) (int, error) {
+	control := http.NewResponseController(w)
+	chunk := make([]byte, 32<<10)
+	written := 0
+	for written < b.opts.answerBytes {
+		if err := control.SetWriteDeadline(time.Now().Add(unreadLimit)); err != nil {
+			return written, err
+		}
+		n, err := w.Write(chunk[:min(len(chunk), b.opts.answerBytes-written)])
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	if err := control.Flush(); err != nil {
+		return written, err
+	}
+	return written, control.SetWriteDeadline(time.Time{})
+}
 
-// Read implements io.Reader.
-func (zeros) Read(p []byte) (int, error) {
-	clear(p)
-	return len(p), nil
+func (b *backend) endExecution(at int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running--
+	b.executions[at].ended = time.Now()
 }
 
 // ran returns the requests that the backend server began to run.
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -17,7 +17,8 @@
 // answer is what a client got for one request.
 type answer struct {
 	id     string
-	status int // 0 if the connection ended without a complete answer
+	status int  // 0 if the connection ended without a complete answer
+	cut    bool // the answer had begun then
 	body   string
 	err    error
 }
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -27,6 +27,7 @@
 
 // scenarios holds the cases by name.
 var scenarios = map[string]scenario{
+	"abandoned":    abandoned,
 	"hedge-cuts":   hedgeCuts,
 	"late-checkin": lateCheckin,
 }
