Review case: a foreign check-in revives a backend server that left

Claim (DRAIN): after a backend server has left, one check-in of another writer, for a service that is not named and without born, makes the node forget the departure. A check-in that the backend server sent before it left then brings it back into use.

At fault: decodeHeartbeat in platform/instances.go accepts such a check-in, and (*Tracker).Apply in lifecycle/lifecycle.go takes it for a new start and forgets the ended one.

--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -27,9 +27,10 @@
 
 // scenarios holds the cases by name.
 var scenarios = map[string]scenario{
-	"abandoned":    abandoned,
-	"hedge-cuts":   hedgeCuts,
-	"late-checkin": lateCheckin,
+	"abandoned":       abandoned,
+	"foreign-checkin": foreignCheckin,
+	"hedge-cuts":      hedgeCuts,
+	"late-checkin":    lateCheckin,
 }
 
 func main() {
