Review case: a stopping node runs a request behind its last answer

Claim (LOST): a node that is being stopped ends a connection with Connection: close and still passes on the next pipelined request of it to a backend server. The answer has no way back.

At fault: (*serverConn).markLast in edge/conn.go overlooks a request that has begun to arrive and is not yet dispatched.

--- a/review/lab/backend.go
+++ b/review/lab/backend.go
@@ -18,7 +18,8 @@
 	slots int
 	work  func(r *http.Request) time.Duration // execution time of a request; nil for 20 ms
 
-	answerBytes int // size of an answer; 0 for a short one
+	answerBytes int  // size of an answer; 0 for a short one
+	quiet       bool // the record does not tell of each request
 }
 
 // execution is one request that a backend server began to run.
@@ -115,7 +116,9 @@
 	b.running++
 	b.mu.Unlock()
 	defer b.endExecution(at)
-	b.m.l.noteAt(e.at, "%s: backend server %s runs %s %s id %s", b.m.name, b.opts.id, e.method, e.path, e.id)
+	if !b.opts.quiet {
+		b.m.l.noteAt(e.at, "%s: backend server %s runs %s %s id %s", b.m.name, b.opts.id, e.method, e.path, e.id)
+	}
 	work := 20 * time.Millisecond
 	if b.opts.work != nil {
 		work = b.opts.work(r)
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -230,6 +231,7 @@
 	peer, admin, callers, ready, control string
 	app                                  string // address of the backend server
 	proc                                 *process
+	left                                 atomic.Bool // the platform directs clients elsewhere
 }
 
 // newMachine chooses the addresses of a machine; startNode starts its node.
