Review cases 3, 4 and 5: more requests in each run

Case 3 (LOST, markLast in edge/conn.go) stops 16 times, and cases 4 and 5 (DRAIN, decodeHeartbeat in platform/instances.go and recordEnd in plugin/target/target.go) send from two machines, since some runs had met only a few requests.

--- a/review/lab/latecheckin.go
+++ b/review/lab/latecheckin.go
@@ -11,7 +11,8 @@
 	// storeOutage is how long the store resets all connections.
 	storeOutage = 4500 * time.Millisecond
 	// checkinDelay is how late the check-in arrives.
-	checkinDelay = 4 * time.Second
+	checkinDelay  = 4 * time.Second
+	checkInterval = 20 * time.Millisecond // between two requests
 	// serveAfterLeave is how long the backend server still serves after its leave was
 	// acknowledged.
 	serveAfterLeave = 12 * time.Second
@@ -73,13 +74,14 @@
 	return d, nil
 }
 
-// countAfter sends requests from a time until the backend server that has left ends, and
-// returns how many have reached it.
+// countAfter sends requests of clients on two machines from a time until the backend server
+// that has left ends, and returns how many have reached it.
 func (d *leaveDeployment) countAfter(from, acknowledged time.Time) int {
 	time.Sleep(time.Until(from))
 	for time.Since(acknowledged) < serveAfterLeave {
 		d.first.do("GET", "rates.example", "/browse/2", "", time.Second)
-		time.Sleep(100 * time.Millisecond)
+		d.host.do("GET", "rates.example", "/browse/2", "", time.Second)
+		time.Sleep(checkInterval)
 	}
 	reached := 0
 	for _, e := range d.leaver.ran() {
--- a/review/lab/pipelined.go
+++ b/review/lab/pipelined.go
@@ -18,10 +18,10 @@
 	pipelineFronts  = 4
 	pipelineServers = 2
 	pipelineSlots   = 159
-	pipelineClients = 22 // on each of the first machines
+	pipelineClients = 30 // on each of the first machines
 	pipelineDepth   = 2  // requests in flight on a connection
-	pipelineFor     = 30 * time.Second
-	rolls           = 8 // each of the first machines twice
+	pipelineFor     = 46 * time.Second
+	rolls           = 16 // each of the first machines four times
 	rollGap         = 2 * time.Second
 	// clientsLeaveAfter is when the platform directs clients elsewhere: after two misses of
 	// its check, which it makes once a second.
