--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/ ./apps/dogwoodhatch-store ./review/lab
+go build -o target/review/ ./apps/dogwoodhatch-store ./review/platform/lab
