Show that a caller who leaves is not noticed while a body is unread

If a client pipelines two idempotent requests whose bodies come in chunks and then closes its connection, the first one is worked on to its end and the second one reaches a backend server a second later.

Code at fault: edge/conn.go. awaitBody and dispatch block the goroutine whose read alone notices the end of the connection.

--- a/review/platform/lab/main.go
+++ b/review/platform/lab/main.go
@@ -30,6 +30,7 @@
 	"abandoned":       abandoned,
 	"foreign-checkin": foreignCheckin,
 	"hedge-cuts":      hedgeCuts,
+	"pipelined-body":  pipelinedBody,
 	"pipelined-stop":  pipelinedStop,
 	"late-checkin":    lateCheckin,
 }
