Show that the drain of a backend server is forgotten in a drill of the store

If the store comes back from a copy that is older than the leave of a backend server while the node that acknowledged the leave restarts, a late check-in puts the backend server into use again.

Code at fault: plugin/directory/restore.go restores the operators' records only; the ended start in the record of a member is lost with the store's copy, although all other nodes had it.

--- a/review/platform/lab/main.go
+++ b/review/platform/lab/main.go
@@ -28,6 +28,7 @@
 // scenarios holds the cases by name.
 var scenarios = map[string]scenario{
 	"abandoned":       abandoned,
+	"drill-leave":     drillLeave,
 	"foreign-checkin": foreignCheckin,
 	"hedge-cuts":      hedgeCuts,
 	"pipelined-body":  pipelinedBody,
