--- a/edge/conn.go
+++ b/edge/conn.go
@@ -244,12 +244,13 @@
 }
 
 // markLast reports whether the answer about to be written ends the connection. It does
-// if that is requested and no later request has been read; no further requests are then
-// read.
+// if that is requested and no later request has been read or has begun to arrive; no
+// further requests are then read. A request that is arriving will be run, so its answer
+// must have a connection.
 func (c *serverConn) markLast(requested bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !requested || c.unanswered > 1 {
+	if !requested || c.unanswered > 1 || c.receiving {
 		return false
 	}
 	c.ending = true
