--- a/edge/conn.go
+++ b/edge/conn.go
@@ -38,6 +38,7 @@
 	mu         sync.Mutex
 	unanswered int  // requests that have been read but not answered
 	receiving  bool // the next request has begun to arrive
+	lastRead   bool // the latest request asks for the end of the connection
 	ending     bool // no further requests are read
 }
 
@@ -98,8 +99,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.receiving = true
-	return !c.ending
+	c.ending = c.ending || c.lastRead // what arrives behind the last request is not read
+	c.receiving = !c.ending
+	return c.receiving
 }
 
 func (c *serverConn) inFlight() int {
@@ -172,6 +174,7 @@
 	c.mu.Lock()
 	c.unanswered++
 	c.receiving = false
+	c.lastRead = endsConnection(req)
 	c.mu.Unlock()
 	if body, ok := req.Body.(*streamedBody); ok {
 		body.previousWritten = w.previousWritten
@@ -182,6 +185,14 @@
 	return body
 }
 
+// endsConnection reports whether a request asks for the end of the connection after its
+// answer, as RFC 9112, section 9.6 defines.
+func endsConnection(req *http.Request) bool { return req.Close || isHTTP10(req) }
+
+// isHTTP10 reports whether the end of the connection marks the end of an answer without a
+// declared length.
+func isHTTP10(req *http.Request) bool { return req.ProtoMajor == 1 && req.ProtoMinor == 0 }
+
 // handle runs the handler and finishes the answer. If the handler panics, the
 // connection is closed without a complete answer.
 func (c *serverConn) handle(w *response, done chan struct{}) {
--- a/edge/response.go
+++ b/edge/response.go
@@ -44,15 +44,14 @@
 	w.status = status
 	<-w.previousWritten
 	w.bw = bufpool.GetWriter(w.conn.netConn)
-	http10 := w.req.ProtoMajor == 1 && w.req.ProtoMinor == 0
 	unread := w.body != nil && w.body.closesConnection()
-	closeRequested := unread || w.req.Close || hasToken(w.header, "Connection", "close")
-	w.closeAfter = w.closeAfter || w.conn.markLast(closeRequested || http10 || w.conn.server.closing())
+	closeRequested := unread || endsConnection(w.req) || hasToken(w.header, "Connection", "close")
+	w.closeAfter = w.closeAfter || w.conn.markLast(closeRequested || w.conn.server.closing())
 	w.header.Del("Connection")
 	if w.closeAfter {
 		w.header.Set("Connection", "close")
 	}
-	w.setFraming(status, http10)
+	w.setFraming(status, isHTTP10(w.req))
 	if w.header.Get("Date") == "" {
 		w.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
 	}
--- a/edge/stop_test.go
+++ b/edge/stop_test.go
@@ -150,3 +150,60 @@
 		}
 	}
 }
+
+// TestRequestThatEndsTheConnectionIsTheLast sends bytes behind a request that ends its
+// connection. It guards against an answer of HTTP/1.0, whose body ends with the connection,
+// that is not the last one, and against requests that run behind one with "Connection: close".
+func TestRequestThatEndsTheConnectionIsTheLast(t *testing.T) {
+	for name, first := range map[string]string{
+		"http10": "GET /first HTTP/1.0\r\nHost: a\r\n\r\n",
+		"close":  "GET /first HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var ran atomic.Int32
+			_, addr := startServer(t, DefaultServerOptions(), func(w http.ResponseWriter, r *http.Request) {
+				ran.Add(1)
+				time.Sleep(20 * time.Millisecond)
+				fmt.Fprint(w, r.URL.Path)
+			})
+			conn, br := dial(t, addr)
+			fmt.Fprint(conn, first+"GET /second HTTP/1.1\r\nHost: a\r\n\r\n")
+			resp, body := readAnswer(t, br)
+			if body != "/first" || !resp.Close {
+				t.Fatalf("answer %q, closing %t", body, resp.Close)
+			}
+			if n := answeredUntilEnd(t, br); n != 0 || ran.Load() != 1 {
+				t.Fatalf("%d further answers, %d requests ran", n, ran.Load())
+			}
+		})
+	}
+}
+
+// TestLastRequestIsCanceledWhenItsCallerLeaves guards against a request that ends its
+// connection and runs on although its caller has closed it, also if the server has read the
+// body late.
+func TestLastRequestIsCanceledWhenItsCallerLeaves(t *testing.T) {
+	for name, request := range map[string]string{
+		"get":    "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+		"upload": "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			running, canceled := make(chan struct{}), make(chan struct{})
+			_, addr := startServer(t, DefaultServerOptions(), func(_ http.ResponseWriter, r *http.Request) {
+				Body(r.Context(), r)
+				close(running)
+				<-r.Context().Done()
+				close(canceled)
+			})
+			conn, _ := dial(t, addr)
+			fmt.Fprint(conn, request)
+			<-running
+			conn.Close()
+			select {
+			case <-canceled:
+			case <-time.After(testTimeout):
+				t.Fatal("the request of a caller that had left was not canceled")
+			}
+		})
+	}
+}
