--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -45,27 +45,35 @@
 	ended     bool // the current start accepts no more calls
 	lastHeard time.Time
 
-	// All starts of the current instance up to this time, in milliseconds since the
-	// Unix epoch, have ended; 0 if none is known to have ended.
-	endedBorn int64
+	// All starts of an instance up to this time, in milliseconds since the Unix epoch, have
+	// ended. Instances are kept when another one has replaced them, because their reports
+	// may still arrive.
+	endedBorn map[string]int64
 }
 
+// maxEndedInstances bounds the memory. Far fewer backend servers than that follow each other
+// at one address while a report is on its way.
+const maxEndedInstances = 64
+
 // Apply processes a report and returns its effect. An outdated report has none.
 func (t *Tracker) Apply(r Report, now time.Time) Change {
-	startEnded := t.known && r.Instance == t.current.Instance && r.Born != 0 && r.Born <= t.endedBorn
+	startEnded := r.Born != 0 && r.Born <= t.endedBorn[r.Instance]
 	switch {
-	case !t.known, startEnded: // any report is recorded; a start that has ended stays ended
+	case !t.known:
 	case r.sameStart(&t.current):
 		if r.Sequence <= t.current.Sequence {
 			return Stale
 		}
 	case t.older(&r):
 		return Stale
+	case startEnded && r.Instance != t.current.Instance:
+		return Stale // another backend server has replaced the one that left
+	case startEnded: // any report is recorded; a start that has ended stays ended
 	}
 	newStart := !t.known || !startEnded && !r.sameStart(&t.current)
 	ended := t.ended && !newStart // a start that has drained never accepts calls again
-	if newStart {
-		t.endedBorn = 0
+	if r.Draining {
+		t.recordEnd(r.Instance, r.Born)
 	}
 	t.known = true
 	t.current = r
@@ -90,21 +98,24 @@
 }
 
 // Leave records that a start of the backend server accepts no more calls. born is
-// the start time in milliseconds since the Unix epoch, 0 if not reported.
+// the start time in milliseconds since the Unix epoch, 0 if not reported. It returns Stale
+// if another start accepts calls.
 func (t *Tracker) Leave(instance string, born int64, now time.Time) Change {
-	if t.known && (instance != t.current.Instance || born != 0 && t.current.Born != 0 && born < t.current.Born) {
+	other := t.known && instance != t.current.Instance
+	if !other && t.known && born != 0 && t.current.Born != 0 && born < t.current.Born {
+		return Stale
+	}
+	if born == 0 && (other || !t.known) {
+		born = now.UnixMilli() // the start was at or before now
+	}
+	t.recordEnd(instance, born)
+	if other && !t.ended {
 		return Stale
 	}
-	if !t.known {
-		// A start whose time was not reported was at or before now.
+	if other || !t.known {
 		t.current = Report{Instance: instance}
-		t.endedBorn = born
-		if born == 0 {
-			t.endedBorn = now.UnixMilli()
-		}
 		t.known = true
 	}
-	t.endedBorn = max(t.endedBorn, born) // a late report of that start must not serve again
 	if t.ended {
 		return Renewed
 	}
@@ -113,6 +124,25 @@
 	return Ended
 }
 
+// recordEnd records that the starts of an instance up to born accept no more calls, so that
+// no late report of one of them counts as a new start.
+func (t *Tracker) recordEnd(instance string, born int64) {
+	if t.endedBorn == nil {
+		t.endedBorn = map[string]int64{}
+	}
+	t.endedBorn[instance] = max(t.endedBorn[instance], born)
+	if len(t.endedBorn) <= maxEndedInstances {
+		return
+	}
+	oldest := instance
+	for other, b := range t.endedBorn {
+		if b < t.endedBorn[oldest] {
+			oldest = other
+		}
+	}
+	delete(t.endedBorn, oldest)
+}
+
 // Silent reports whether a backend server that accepts calls has sent no report
 // for longer than limit.
 func (t *Tracker) Silent(limit time.Duration, now time.Time) bool {
@@ -129,7 +159,7 @@
 // milliseconds since the Unix epoch, up to which its starts have ended. It is valid
 // after a change to Ended.
 func (t *Tracker) LastEnded() (instance string, born int64) {
-	return t.current.Instance, max(t.endedBorn, t.current.Born)
+	return t.current.Instance, max(t.endedBorn[t.current.Instance], t.current.Born)
 }
 
 // Current returns the latest report.
