--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -45,9 +45,13 @@
 	// beside this node; an empty service withdraws the announcement.
 	Announce(service string, slots int)
 	// RecordEnd records that a start of the backend server beside this node accepts
-	// no more calls. It returns nil once the store holds the record, from which the
-	// next process of this node learns of it, or the error of ctx.
+	// no more calls, so that the next process of this node learns of it. It returns nil
+	// once the store holds the record, or if other nodes know of the end when ctx ends;
+	// otherwise the error of ctx.
 	RecordEnd(ctx context.Context, start membership.BackendStart) error
+	// AwaitEnded waits until this node has asked other nodes which start of its backend
+	// server had ended before this process began, or until ctx ends.
+	AwaitEnded(ctx context.Context)
 	// Leave announces that this node is shutting down.
 	Leave()
 }
--- a/lifecycle/ended_test.go
+++ b/lifecycle/ended_test.go
@@ -45,7 +45,10 @@
 	if instance, born := tr.LastEnded(); instance != "b" || born != 2000 {
 		t.Fatalf("last ended start %s, %d", instance, born)
 	}
-	for _, r := range []Report{{Instance: "b", Born: 2000, Sequence: 5}, {Instance: "a", Born: 1000, Sequence: 9}} {
+	if c := tr.Leave("c", 1500, time.UnixMilli(6200)); c != Stale {
+		t.Fatalf("departure of an earlier start: %v", c)
+	}
+	for _, r := range []Report{{Instance: "b", Born: 2000, Sequence: 5}, {Instance: "a", Born: 1000, Sequence: 9}, {Instance: "c", Born: 1500, Sequence: 2}} {
 		if c := tr.Apply(r, time.UnixMilli(6500)); c == Started || tr.Serving() {
 			t.Fatalf("late report of %s: %v", r.Instance, c)
 		}
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -99,7 +99,7 @@
 
 // Leave records that a start of the backend server accepts no more calls. born is
 // the start time in milliseconds since the Unix epoch, 0 if not reported. It returns Stale
-// if another start accepts calls.
+// if another start accepts calls, or a later one has ended.
 func (t *Tracker) Leave(instance string, born int64, now time.Time) Change {
 	other := t.known && instance != t.current.Instance
 	if !other && t.known && born != 0 && t.current.Born != 0 && born < t.current.Born {
@@ -109,7 +109,7 @@
 		born = now.UnixMilli() // the start was at or before now
 	}
 	t.recordEnd(instance, born)
-	if other && !t.ended {
+	if _, last := t.LastEnded(); other && (!t.ended || born < last) {
 		return Stale
 	}
 	if other || !t.known {
--- a/membership/member.go
+++ b/membership/member.go
@@ -38,6 +38,16 @@
 	Born     int64  // start time in milliseconds since the Unix epoch, 0 if not reported
 }
 
+// BornAfter reports whether s is known to have started after o.
+func (s BackendStart) BornAfter(o BackendStart) bool {
+	return s.Born != 0 && o.Born != 0 && s.Born > o.Born
+}
+
+// Valid reports whether the figures of a start are in range.
+func (s BackendStart) Valid() bool {
+	return len(s.Instance) <= maxNameBytes && s.Born >= 0 && s.Born <= MaxBorn
+}
+
 // Member is a node and the backend server beside it.
 type Member struct {
 	ID      string // unique per process start
--- a/plugin/directory/directory.go
+++ b/plugin/directory/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,7 +22,7 @@
 // expireInterval is the time between two checks for lapsed members to forget.
 const expireInterval = time.Second
 
-// directory implements kernel.Profiles, kernel.Fleet and kernel.Replica. table, fleet,
+// directory implements kernel.Profiles, kernel.Fleet and kernel.Replica. table, fleet, ended,
 // catalog, registration, self, lost and recordWaiters belong to the control goroutine;
 // goroutines that serve traffic read the atomic values.
 type directory struct {
@@ -33,6 +34,7 @@
 
 	table         *replica.Table
 	fleet         *membership.Fleet
+	ended         membership.EndedStarts // of other nodes
 	catalog       *profile.Catalog
 	registration  *membership.Registration
 	self          membership.Member
@@ -49,6 +51,8 @@
 	provedAt       atomic.Int64  // latest time, in ns since started, at which the table is proved to have held every change that the store had acknowledged
 	started        time.Time
 	failing        failingMembers // members that recently did not answer a sync
+	askedOnce      sync.Once
+	asked          chan struct{} // closed once the witnesses were asked for ended starts
 
 	hints            chan revisionHint // higher revisions reported by other nodes
 	refreshNow       chan struct{}     // signals that the store must be read now
@@ -68,6 +72,7 @@
 		registration:     membership.NewRegistration(membership.DefaultRegistrationConfig(), rng),
 		self:             membership.Member{ID: k.NodeID, Addr: k.Settings.Listen.Peer, Region: k.Settings.Node.Region, Domain: k.Settings.Node.FailureDomain},
 		started:          time.Now(),
+		asked:            make(chan struct{}),
 		hints:            make(chan revisionHint, 1),
 		refreshNow:       make(chan struct{}, 1),
 		registrationWake: make(chan struct{}, 1),
@@ -96,6 +101,7 @@
 		go d.followStore()
 		go d.runRegistration()
 		go d.runRestore()
+		go d.askForEnded()
 	}
 	go d.runSync()
 	go d.runExpiry()
@@ -218,7 +224,7 @@
 		return
 	}
 	if e.Key == d.ownKey() {
-		d.adoptEndedStart(&m)
+		d.adoptFromMember(&m)
 	}
 	if d.fleet.Put(e.Key, m) {
 		d.logMember("joined", &m)
--- a/plugin/directory/register.go
+++ b/plugin/directory/register.go
@@ -1,13 +1,11 @@
 package directory
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
-	"github.com/dogwoodhatch/dogwoodhatch/store"
 )
 
 // noBackendDelay is how long a node waits for its backend server to be announced
@@ -28,27 +26,6 @@
 	})
 }
 
-// RecordEnd implements kernel.Fleet.
-func (d *directory) RecordEnd(ctx context.Context, start membership.BackendStart) error {
-	if d.store == nil {
-		return nil
-	}
-	recorded := make(chan struct{})
-	d.k.Control.Go(func() {
-		d.self.Ended = start
-		d.registration.SetRecord(d.self.Encode())
-		d.recordWaiters = append(d.recordWaiters, recorded)
-		d.notifyRecorded()
-		d.wakeRegistration()
-	})
-	select {
-	case <-recorded:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // notifyRecorded wakes the waiters of RecordEnd if the store holds the current record
 // of this node. It runs on the control goroutine.
 func (d *directory) notifyRecorded() {
@@ -61,31 +38,6 @@
 	d.recordWaiters = nil
 }
 
-// adoptEndedStart copies the ended start of the backend server from a record written by
-// the previous process of this node. It runs on the control goroutine.
-func (d *directory) adoptEndedStart(m *membership.Member) {
-	if m.ID == d.self.ID || m.Ended.Instance == "" || d.self.Ended.Instance != "" {
-		return
-	}
-	if m.Ended.Born > membership.MaxBorn {
-		d.log.Warn("ended_start_rejected", zap.String("member", m.ID), zap.String("instance", m.Ended.Instance), zap.Int64("born", m.Ended.Born))
-		return
-	}
-	d.self.Ended = m.Ended
-	go d.k.Target.BackendDeparted(d.ctx, m.Ended)
-}
-
-// adoptFromEntry decodes the record that the store holds for this node and calls
-// adoptEndedStart. It runs on the control goroutine.
-func (d *directory) adoptFromEntry(e store.Entry) {
-	m, err := membership.Decode(e.Key, e.Value, e.Revision)
-	if err != nil {
-		d.log.Warn("member_rejected", zap.String("key", e.Key), zap.Uint64("revision", e.Revision), zap.Error(err))
-		return
-	}
-	d.adoptEndedStart(&m)
-}
-
 // Leave implements kernel.Fleet.
 func (d *directory) Leave() { d.Announce("", 0) }
 
--- a/plugin/directory/setup.go
+++ b/plugin/directory/setup.go
@@ -21,5 +21,6 @@
 		k.Records.Declare(prefix)
 	}
 	k.Exchanges.Handle(stateTopic, d.serveState)
+	k.Exchanges.Handle(endedTopic, d.serveEnded)
 	return d, nil
 }
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -206,8 +206,16 @@
 	}
 }
 
-// Report implements kernel.Target.
+// awaitEndedTimeout leaves half of the second within which the backend server must get the
+// answer to its report.
+const awaitEndedTimeout = 500 * time.Millisecond
+
+// Report implements kernel.Target. A report to a process that has just started may be older
+// than an end that an earlier process has acknowledged, so it waits until that is known.
 func (t *target) Report(ctx context.Context, r lifecycle.Report) {
+	waitCtx, cancel := context.WithTimeout(ctx, awaitEndedTimeout)
+	t.k.Fleet.AwaitEnded(waitCtx)
+	cancel()
 	if change := t.applyReport(r, time.Now()); r.Draining && change != lifecycle.Stale {
 		t.recordEnd(ctx)
 	}
@@ -257,10 +265,10 @@
 // get the answer to its report.
 const recordEndTimeout = 600 * time.Millisecond
 
-// recordEnd stores that a start of the backend server takes no more calls, so that
-// the next process of this node knows it. If the store cannot be reached within
-// recordEndTimeout, recordEnd only logs the failure, because the end holds in this
-// process in any case.
+// recordEnd records that a start of the backend server takes no more calls, so that
+// the next process of this node knows it. If neither the store nor another node can be
+// reached within recordEndTimeout, recordEnd only logs the failure, because the end holds in
+// this process in any case.
 func (t *target) recordEnd(ctx context.Context) {
 	t.mu.Lock()
 	var start membership.BackendStart
