--- a/kernel/drain.go
+++ b/kernel/drain.go
@@ -4,13 +4,14 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Drain tracks the graceful shutdown of a node: whether the node is leaving and
 // how many requests are in flight.
 type Drain struct {
 	mu          sync.Mutex
-	closing     atomic.Bool
+	stop        atomic.Pointer[stopTimes] // nil until the node is about to stop
 	leaving     bool
 	inFlight    int
 	idle        chan struct{} // closed once the node is leaving and nothing is in flight
@@ -18,6 +19,12 @@
 	requested   chan struct{} // closed once an operator has requested the shutdown
 }
 
+// stopTimes says when a node that is about to stop does what.
+type stopTimes struct {
+	redirected time.Time // callers use another node from then on
+	end        time.Time // requests in flight are not waited for any longer
+}
+
 func newDrain() *Drain { return &Drain{idle: make(chan struct{}), requested: make(chan struct{})} }
 
 // Request asks the node to shut down gracefully. Later calls have no effect.
@@ -56,12 +63,26 @@
 	d.closeIdleIfDone()
 }
 
-// MarkClosing marks the node as about to stop. Callers are told to use another node,
-// but their requests are still served until Leave is called.
-func (d *Drain) MarkClosing() { d.closing.Store(true) }
+// MarkClosing marks the node as about to stop. Callers are told to use another node, which
+// all do by redirected. Until Leave is called their requests are still served, if they have
+// ended by end; see Overruns.
+func (d *Drain) MarkClosing(redirected, end time.Time) {
+	d.stop.Store(&stopTimes{redirected: redirected, end: end})
+}
 
 // Closing reports whether MarkClosing has been called.
-func (d *Drain) Closing() bool { return d.closing.Load() }
+func (d *Drain) Closing() bool { return d.stop.Load() != nil }
+
+// Overruns reports whether this node may stop before a request with that deadline has ended,
+// so that it must be refused before it runs. retryAfter is the time until the caller is
+// directed to another node.
+func (d *Drain) Overruns(deadline, now time.Time) (retryAfter time.Duration, overruns bool) {
+	s := d.stop.Load()
+	if s == nil || !deadline.After(s.end) {
+		return 0, false
+	}
+	return max(s.redirected.Sub(now), 0), true
+}
 
 // Leave starts the graceful shutdown: from now on Enter returns false.
 func (d *Drain) Leave() {
--- a/node/node.go
+++ b/node/node.go
@@ -135,8 +135,9 @@
 
 // Exit shuts the node down gracefully: it refuses new requests as not run and waits for
 // those in flight to end. If the node serves callers of the platform, it still serves
-// them for callerRedirectTime, before it refuses their requests. After the drain timeout
-// of the settings the remaining requests are interrupted.
+// them for callerRedirectTime, before it refuses their requests; those whose deadline is
+// after the drain timeout are refused from the beginning. After the drain timeout of the
+// settings the remaining requests are interrupted.
 func (n *Node) Exit() {
 	n.exitOnce.Do(n.exit)
 	<-n.exited
@@ -152,12 +153,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	n.kernel.Drain.MarkClosing()
-	n.kernel.Target.Leave()
-	n.kernel.Fleet.Leave()
+	var redirect time.Duration
 	if n.settings.Platform.Callers != "" {
-		n.sleep(ctx, callerRedirectTime)
+		redirect = callerRedirectTime
 	}
+	n.kernel.Drain.MarkClosing(began.Add(redirect), began.Add(timeout))
+	n.kernel.Target.Leave()
+	n.kernel.Fleet.Leave()
+	n.sleep(ctx, redirect)
 	n.kernel.Drain.Leave()
 	cut := n.drain(ctx)
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), n.stopTimeout())
--- a/plugin/entry/request.go
+++ b/plugin/entry/request.go
@@ -39,6 +39,10 @@
 	class := e.profileFor(req.Service).Match(r.Method, r.URL.Path)
 	e.startChain(req, class, r)
 	req.FromClient = true
+	if retryAfter, overruns := e.k.Drain.Overruns(req.Chain.Deadline, time.Now()); overruns {
+		writeRefusal(w, call.ReasonLeaving, retryAfter)
+		return
+	}
 	if t != nil {
 		req.Header.Del("Authorization")
 		req.Chain.Team = t.Name
--- a/plugin/ingress/identify.go
+++ b/plugin/ingress/identify.go
@@ -37,11 +37,11 @@
 			return sender{parent: parent}, nil, nil
 		}
 		if hasParentID(r.RequestID) {
-			return sender{}, in.refuse(r, rule, call.ReasonNoParent), nil
+			return sender{}, in.refuse(r, rule, call.ReasonNoParent, identityRetryAfter), nil
 		}
 	}
 	if in.stateIsStale() {
-		return sender{}, in.refuse(r, rule, call.ReasonStaleState), nil
+		return sender{}, in.refuse(r, rule, call.ReasonStaleState, identityRetryAfter), nil
 	}
 	t, ok := teams.Authenticate(r.Credentials)
 	if !ok {
@@ -61,12 +61,12 @@
 }
 
 // refuse logs a refusal, like those of requests that were sent on, and returns it.
-func (in *ingress) refuse(r *kernel.IngressRequest, rule *route.Rule, reason call.Reason) *kernel.Answer {
+func (in *ingress) refuse(r *kernel.IngressRequest, rule *route.Rule, reason call.Reason, retryAfter time.Duration) *kernel.Answer {
 	if in.k.Sampler.Keep(true, cohort(r.RequestID)) {
 		in.k.Log.Info("request_refused", zap.String("request", r.RequestID), zap.String("host", r.Host), zap.String("rule", rule.Name),
-			zap.String("reason", string(reason)))
+			zap.String("reason", string(reason)), zap.Duration("retry_after", retryAfter))
 	}
-	return &kernel.Answer{Result: call.Result{Outcome: call.Refused, Reason: reason, RetryAfter: identityRetryAfter}}
+	return &kernel.Answer{Result: call.Result{Outcome: call.Refused, Reason: reason, RetryAfter: retryAfter}}
 }
 
 // identityRetryAfter is when a request without a running parent, or one refused for lack
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -64,14 +64,32 @@
 	if table.Teams == nil {
 		maps.Copy(r.Header, r.HeaderWithoutTeams)
 	}
-	return in.k.WithinQuota(ctx, from.team, kernel.QuotaRequest{ID: r.RequestID, Cohort: cohort(r.RequestID), Deadline: time.Now().Add(timeoutOf(r, rule))}, func() (*kernel.Answer, error) {
+	deadline := time.Now().Add(timeoutOf(r, rule))
+	if ans := in.refuseOverrun(r, rule, from, deadline); ans != nil {
+		return ans, nil
+	}
+	return in.k.WithinQuota(ctx, from.team, kernel.QuotaRequest{ID: r.RequestID, Cohort: cohort(r.RequestID), Deadline: deadline}, func() (*kernel.Answer, error) {
 		if err := readBody(ctx, r, rule); err != nil {
 			return nil, err
 		}
-		return in.k.Caller.Do(ctx, in.newRequest(r, rule, from)), nil
+		req := in.newRequest(r, rule, from)
+		if ans := in.refuseOverrun(r, rule, from, req.Chain.Deadline); ans != nil {
+			return ans, nil // the body took long
+		}
+		return in.k.Caller.Do(ctx, req), nil
 	})
 }
 
+// refuseOverrun refuses a request that may run for longer than this node, which is about to
+// stop. Sub-calls are exempt: their parents were accepted before and fail without them.
+func (in *ingress) refuseOverrun(r *kernel.IngressRequest, rule *route.Rule, from sender, deadline time.Time) *kernel.Answer {
+	retryAfter, overruns := in.k.Drain.Overruns(deadline, time.Now())
+	if !overruns || from.parent != nil {
+		return nil
+	}
+	return in.refuse(r, rule, call.ReasonLeaving, retryAfter)
+}
+
 const (
 	// maxRoomWait bounds the wait for room for a body, and roomWaitFraction the part of
 	// the time of the request that it may take. A longer wait leaves too little time to
--- a/plugin/ingress/ingress_test.go
+++ b/plugin/ingress/ingress_test.go
@@ -88,3 +88,33 @@
 		t.Errorf("error %v, request %v", err, caller.request)
 	}
 }
+
+// Guards against a request that a stopping node takes although it may end after the node,
+// also if only its late body makes it so.
+func TestRequestThatMayOutliveTheNodeDoesNotRun(t *testing.T) {
+	const reading = 60 * time.Millisecond
+	for name, c := range map[string]struct {
+		left time.Duration // until the node no longer waits for requests
+		runs bool
+	}{
+		"time enough":            {time.Minute, true},
+		"ends after the node":    {300 * time.Millisecond, false},
+		"its body took too long": {400*time.Millisecond + reading/2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in, caller := testIngress(t, uploadRule())
+			now := time.Now()
+			in.k.Drain.MarkClosing(now.Add(200*time.Millisecond), now.Add(c.left))
+			ans, err := in.Serve(context.Background(), &kernel.IngressRequest{Host: "a", Method: "POST", Target: "/", ReadBody: func(context.Context) ([]byte, error) {
+				time.Sleep(reading)
+				return nil, nil
+			}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if ran := caller.request != nil; ran != c.runs || !ran && (ans.Outcome != call.Refused || ans.Reason != call.ReasonLeaving || ans.RetryAfter <= 0) {
+				t.Errorf("ran %t, answer %+v", ran, ans.Result)
+			}
+		})
+	}
+}
