--- a/plugin/directory/ended_test.go
+++ b/plugin/directory/ended_test.go
@@ -76,7 +76,7 @@
 	for name, msg := range map[string]*wire.EndedStart{
 		"born":   {Key: "members/b", Instance: "i", Born: membership.MaxBorn + 1},
 		"before": {Key: "members/b", Instance: "i", Born: -1},
-		"key":    {Key: "op/config", Instance: "i", Born: 1},
+		"key":    {Key: "other/b", Instance: "i", Born: 1},
 	} {
 		if _, err := h("b", wire.Encode(msg)); err == nil {
 			t.Errorf("%s: accepted", name)
