--- a/kernel/drain.go
+++ b/kernel/drain.go
@@ -47,8 +47,8 @@
 }
 
 // ForceEnter registers a request as in flight even if the node is leaving. It is
-// for sub-calls of executions in flight, which may finish, and for attempts
-// whose refusal must still be sent.
+// for sub-calls of executions in flight, which may finish, and for requests and
+// attempts whose refusal must still be sent.
 func (d *Drain) ForceEnter() {
 	d.mu.Lock()
 	d.inFlight++
--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -65,7 +65,7 @@
 		maps.Copy(r.Header, r.HeaderWithoutTeams)
 	}
 	deadline := time.Now().Add(timeoutOf(r, rule))
-	if ans := in.refuseOverrun(r, rule, from, deadline); ans != nil {
+	if ans := in.refuseLeaving(r, rule, from, deadline); ans != nil {
 		return ans, nil
 	}
 	return in.k.WithinQuota(ctx, from.team, kernel.QuotaRequest{ID: r.RequestID, Cohort: cohort(r.RequestID), Deadline: deadline}, func() (*kernel.Answer, error) {
@@ -73,18 +73,19 @@
 			return nil, err
 		}
 		req := in.newRequest(r, rule, from)
-		if ans := in.refuseOverrun(r, rule, from, req.Chain.Deadline); ans != nil {
+		if ans := in.refuseLeaving(r, rule, from, req.Chain.Deadline); ans != nil {
 			return ans, nil // the body took long
 		}
 		return in.k.Caller.Do(ctx, req), nil
 	})
 }
 
-// refuseOverrun refuses a request that may run for longer than this node, which is about to
-// stop. Sub-calls are exempt: their parents were accepted before and fail without them.
-func (in *ingress) refuseOverrun(r *kernel.IngressRequest, rule *route.Rule, from sender, deadline time.Time) *kernel.Answer {
+// refuseLeaving refuses a request if this node takes no more, or if the request may run for
+// longer than this node, which is about to stop. Sub-calls are exempt: their parents were
+// accepted before and fail without them.
+func (in *ingress) refuseLeaving(r *kernel.IngressRequest, rule *route.Rule, from sender, deadline time.Time) *kernel.Answer {
 	retryAfter, overruns := in.k.Drain.Overruns(deadline, time.Now())
-	if !overruns || from.parent != nil {
+	if from.parent != nil || !overruns && !in.k.Drain.Leaving() {
 		return nil
 	}
 	return in.refuse(r, rule, call.ReasonLeaving, retryAfter)
