--- a/plugin/ingress/ingress.go
+++ b/plugin/ingress/ingress.go
@@ -84,8 +84,11 @@
 // longer than this node, which is about to stop. Sub-calls are exempt: their parents were
 // accepted before and fail without them.
 func (in *ingress) refuseLeaving(r *kernel.IngressRequest, rule *route.Rule, from sender, deadline time.Time) *kernel.Answer {
+	if from.parent != nil || !in.k.Drain.Closing() {
+		return nil
+	}
 	retryAfter, overruns := in.k.Drain.Overruns(deadline, time.Now())
-	if from.parent != nil || !overruns && !in.k.Drain.Leaving() {
+	if !overruns && !in.k.Drain.Leaving() {
 		return nil
 	}
 	return in.refuse(r, rule, call.ReasonLeaving, retryAfter)
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -211,11 +211,14 @@
 const awaitEndedTimeout = 500 * time.Millisecond
 
 // Report implements kernel.Target. A report to a process that has just started may be older
-// than an end that an earlier process has acknowledged, so it waits until that is known.
+// than an end that an earlier process has acknowledged, so it waits until that is known,
+// unless it tells of an end itself.
 func (t *target) Report(ctx context.Context, r lifecycle.Report) {
-	waitCtx, cancel := context.WithTimeout(ctx, awaitEndedTimeout)
-	t.k.Fleet.AwaitEnded(waitCtx)
-	cancel()
+	if !r.Draining {
+		waitCtx, cancel := context.WithTimeout(ctx, awaitEndedTimeout)
+		t.k.Fleet.AwaitEnded(waitCtx)
+		cancel()
+	}
 	if change := t.applyReport(r, time.Now()); r.Draining && change != lifecycle.Stale {
 		t.recordEnd(ctx)
 	}
