--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -59,7 +59,7 @@
 func (t *Tracker) Apply(r Report, now time.Time) Change {
 	startEnded := r.Born != 0 && r.Born <= t.endedBorn[r.Instance]
 	switch {
-	case !t.known:
+	case !t.known: // the first report is recorded
 	case r.sameStart(&t.current):
 		if r.Sequence <= t.current.Sequence {
 			return Stale
--- a/plugin/directory/ended.go
+++ b/plugin/directory/ended.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -115,10 +114,10 @@
 	ctx, cancel := context.WithTimeout(d.ctx, witnessTimeout)
 	defer cancel()
 	payload := wire.Encode(msg)
-	replies := make([]*wire.EndedStartReply, len(addrs))
-	var answered atomic.Int32
+	var mu sync.Mutex
+	var replies []*wire.EndedStartReply
 	var wg sync.WaitGroup
-	for i, addr := range addrs {
+	for _, addr := range addrs {
 		wg.Go(func() {
 			reply := &wire.EndedStartReply{}
 			raw, err := d.k.Transport.Exchange(ctx, addr, endedTopic, payload)
@@ -129,18 +128,13 @@
 				d.log.Debug("ended_start_unanswered", zap.String("addr", addr), zap.Error(err))
 				return
 			}
-			replies[i] = reply
-			answered.Add(1)
+			mu.Lock()
+			defer mu.Unlock()
+			replies = append(replies, reply)
 		})
 	}
 	wg.Wait()
-	list := make([]*wire.EndedStartReply, 0, answered.Load())
-	for _, r := range replies {
-		if r != nil {
-			list = append(list, r)
-		}
-	}
-	return list
+	return replies
 }
 
 // askForEnded asks the witnesses, once the members are known, which start of the backend
