--- a/kernel/drain.go
+++ b/kernel/drain.go
@@ -21,6 +21,7 @@
 
 // stopTimes says when a node that is about to stop does what.
 type stopTimes struct {
+	began      time.Time
 	redirected time.Time // callers use another node from then on
 	end        time.Time // requests in flight are not waited for any longer
 }
@@ -63,11 +64,11 @@
 	d.closeIdleIfDone()
 }
 
-// MarkClosing marks the node as about to stop. Callers are told to use another node, which
-// all do by redirected. Until Leave is called their requests are still served, if they have
-// ended by end; see Overruns.
-func (d *Drain) MarkClosing(redirected, end time.Time) {
-	d.stop.Store(&stopTimes{redirected: redirected, end: end})
+// MarkClosing marks the node as about to stop at now. Callers are told to use another node,
+// which all do by redirected. Until Leave is called their requests are still served, if they
+// have ended by end; see Overruns.
+func (d *Drain) MarkClosing(now, redirected, end time.Time) {
+	d.stop.Store(&stopTimes{began: now, redirected: redirected, end: end})
 }
 
 // Closing reports whether MarkClosing has been called.
@@ -75,13 +76,17 @@
 
 // Overruns reports whether this node may stop before a request with that deadline has ended,
 // so that it must be refused before it runs. retryAfter is the time until the caller is
-// directed to another node.
+// directed to another node. Callers return in the order in which they were refused, over half
+// the time in which they were, rather than all at the same moment.
 func (d *Drain) Overruns(deadline, now time.Time) (retryAfter time.Duration, overruns bool) {
 	s := d.stop.Load()
 	if s == nil || !deadline.After(s.end) {
 		return 0, false
 	}
-	return max(s.redirected.Sub(now), 0), true
+	if !now.Before(s.redirected) {
+		return 0, true
+	}
+	return s.redirected.Sub(now) + now.Sub(s.began)/2, true
 }
 
 // Leave starts the graceful shutdown: from now on Enter returns false.
--- a/node/node.go
+++ b/node/node.go
@@ -157,7 +157,7 @@
 	if n.settings.Platform.Callers != "" {
 		redirect = callerRedirectTime
 	}
-	n.kernel.Drain.MarkClosing(began.Add(redirect), began.Add(timeout))
+	n.kernel.Drain.MarkClosing(began, began.Add(redirect), began.Add(timeout))
 	n.kernel.Target.Leave()
 	n.kernel.Fleet.Leave()
 	n.sleep(ctx, redirect)
--- a/plugin/ingress/ingress_test.go
+++ b/plugin/ingress/ingress_test.go
@@ -104,7 +104,7 @@
 		t.Run(name, func(t *testing.T) {
 			in, caller := testIngress(t, uploadRule())
 			now := time.Now()
-			in.k.Drain.MarkClosing(now.Add(200*time.Millisecond), now.Add(c.left))
+			in.k.Drain.MarkClosing(now, now.Add(200*time.Millisecond), now.Add(c.left))
 			ans, err := in.Serve(context.Background(), &kernel.IngressRequest{Host: "a", Method: "POST", Target: "/", ReadBody: func(context.Context) ([]byte, error) {
 				time.Sleep(reading)
 				return nil, nil
