--- a/edge/conn.go
+++ b/edge/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
 )
 
 const (
@@ -20,6 +22,9 @@
 	// connection after the last answer. Closing it earlier, while the caller still
 	// sends, would reset the connection and could destroy that answer.
 	lingerTimeout = 500 * time.Millisecond
+	// leaveCheckInterval is the time between two checks whether the caller has left while
+	// the connection is not read.
+	leaveCheckInterval = 100 * time.Millisecond
 )
 
 // serverConn is one connection of a caller. One goroutine reads the requests, and each
@@ -32,7 +37,7 @@
 	br            *bufio.Reader
 	ctx           context.Context // of the requests; canceled when the caller disconnects
 	cancel        context.CancelFunc
-	pipelineSlots chan struct{} // limits the requests served concurrently
+	pipelineSlots chan struct{} // holds a token for each further request that may be served concurrently
 	lastWritten   chan struct{} // closed once the answer to the latest request is written
 
 	mu         sync.Mutex
@@ -47,6 +52,9 @@
 	c.limitReader = &io.LimitedReader{R: nc}
 	c.br = bufio.NewReaderSize(c.limitReader, connBufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	for range s.opts.MaxPipelined {
+		c.pipelineSlots <- struct{}{}
+	}
 	close(c.lastWritten)
 	return c
 }
@@ -64,8 +72,8 @@
 			}
 			return
 		}
-		unread := c.dispatch(req)
-		if unread != nil && !c.awaitBody(unread) {
+		unread, ok := c.dispatch(req)
+		if !ok || unread != nil && !c.awaitBody(unread) {
 			return
 		}
 	}
@@ -148,7 +156,9 @@
 // awaitBody waits until the handler has read the body of its request or is done without
 // it, and then reads the rest. It returns false if no further request can be read.
 func (c *serverConn) awaitBody(b *streamedBody) bool {
-	<-b.settled
+	if !c.await(b.settled) {
+		return false
+	}
 	if !c.isEnding() && b.drain() {
 		return true
 	}
@@ -159,15 +169,44 @@
 	return false
 }
 
+// await receives from ready while the connection is not read, and returns false if the caller
+// closes the connection before. Reading would not show that until all bytes that have
+// arrived before it are read.
+func (c *serverConn) await(ready <-chan struct{}) bool {
+	select {
+	case <-ready:
+		return true
+	default:
+	}
+	ticker := time.NewTicker(leaveCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ready:
+			return true
+		case <-ticker.C:
+			if sockopt.PeerClosed(c.netConn) {
+				return false
+			}
+		}
+	}
+}
+
 func isConnError(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // dispatch starts a goroutine that serves a request, and returns its body if that is yet
-// to be read. It blocks while all pipelineSlots are in use.
-func (c *serverConn) dispatch(req *http.Request) *streamedBody {
-	c.pipelineSlots <- struct{}{}
+// to be read. It blocks while all pipelineSlots are in use, and returns false if the caller
+// closes the connection meanwhile.
+func (c *serverConn) dispatch(req *http.Request) (*streamedBody, bool) {
+	if !c.await(c.pipelineSlots) {
+		if _, ok := req.Body.(*streamedBody); !ok {
+			c.server.opts.Bodies.Release(max(req.ContentLength, 0))
+		}
+		return nil, false
+	}
 	done := make(chan struct{})
 	w := &response{conn: c, req: req, header: http.Header{}, previousWritten: c.lastWritten}
 	c.lastWritten = done
@@ -182,7 +221,7 @@
 	}
 	body := w.body // the answer may be written before dispatch returns
 	go c.handle(w, done)
-	return body
+	return body, true
 }
 
 // endsConnection reports whether a request asks for the end of the connection after its
@@ -204,7 +243,7 @@
 		c.finishAnswer(w, complete)
 		c.releaseBody(w)
 		close(done)
-		<-c.pipelineSlots
+		c.pipelineSlots <- struct{}{}
 	}()
 	if !c.waitToStart(w) {
 		return // the caller has disconnected
@@ -280,7 +319,9 @@
 // linger waits until the last answer is written and the caller has closed the
 // connection.
 func (c *serverConn) linger() {
-	<-c.lastWritten
+	if !c.await(c.lastWritten) {
+		return
+	}
 	c.closeWrite()
 	// Data that still arrives is discarded; only the end of the connection matters. A
 	// caller that sends more than drainBytes is held back until the deadline, because
@@ -302,7 +343,9 @@
 
 // reject answers an unreadable request with an error status and ends the connection.
 func (c *serverConn) reject(status int) {
-	<-c.lastWritten
+	if !c.await(c.lastWritten) {
+		return
+	}
 	w := &response{conn: c, req: &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}, header: http.Header{}, previousWritten: c.lastWritten, closeAfter: true}
 	http.Error(w, http.StatusText(status), status)
 	// A write error does not matter, because the connection ends in any case.
--- a/sockopt/sockopt.go
+++ b/sockopt/sockopt.go
@@ -1,5 +1,6 @@
 // Package sockopt sets the options by which TCP connections detect an unresponsive
-// peer: keep-alive probes on idle connections and a timeout for unacknowledged data.
+// peer: keep-alive probes on idle connections and a timeout for unacknowledged data. It also
+// tells whether the peer has closed a connection that is not read.
 package sockopt
 
 import (
@@ -73,3 +74,24 @@
 	}
 	return sockoptErr
 }
+
+// PeerClosed reports whether the other side has closed the connection, also if bytes that it
+// sent before have not been read. It returns false if that cannot be told, as for a connection
+// that is not TCP. An end of the sending direction alone counts as closed, as for readers.
+func PeerClosed(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, pollErr := unix.Poll(fds, 0)
+		closed = pollErr == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return err == nil && closed
+}
