--- a/plugin/caller/attempt.go
+++ b/plugin/caller/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -61,12 +62,13 @@
 	// The timer starts the second attempt, so that a call without one needs no
 	// extra goroutine.
 	second := make(chan *kernel.Answer, 1)
-	timer := time.AfterFunc(r.hedgeDelay(), func() { second <- r.hedge(ctx, first) })
+	var decided atomic.Bool // one of the attempts has succeeded, and its answer is passed on
+	timer := time.AfterFunc(r.hedgeDelay(), func() { second <- r.hedge(ctx, first, &decided) })
 	ans := r.countPossibleSend(first.execute())
 	if timer.Stop() {
 		return ans
 	}
-	if isSuccess(ans) {
+	if isSuccess(ans) && decided.CompareAndSwap(false, true) {
 		go func() { closeBody(<-second) }()
 		return ans
 	}
@@ -128,9 +130,10 @@
 }
 
 // hedge makes a second attempt in parallel with the first if the retry allowance and
-// the budget permit it. It cancels the first attempt once the second has succeeded.
-// It returns nil if no second attempt was made.
-func (r *request) hedge(ctx context.Context, first *attempt) *kernel.Answer {
+// the budget permit it. It cancels the first attempt once the second has succeeded,
+// unless the answer of the first is being passed on already; decided says so. It returns
+// nil if no second attempt was made.
+func (r *request) hedge(ctx context.Context, first *attempt, decided *atomic.Bool) *kernel.Answer {
 	if ctx.Err() != nil || first.ctx.Err() != nil || !r.svc.spendRetry(r.retryCall(), r.share) {
 		return nil
 	}
@@ -140,7 +143,7 @@
 	}
 	r.caller.metrics.retriesSpent.Inc(1)
 	ans := r.startAttempt(ctx, choice, true).execute()
-	if isSuccess(ans) {
+	if isSuccess(ans) && decided.CompareAndSwap(false, true) {
 		first.cancel()
 	}
 	return ans
