--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -49,8 +49,8 @@
 	// once the store holds the record, or if other nodes know of the end when ctx ends;
 	// otherwise the error of ctx.
 	RecordEnd(ctx context.Context, start membership.BackendStart) error
-	// AwaitEnded waits until this node has asked other nodes which start of its backend
-	// server had ended before this process began, or until ctx ends.
+	// AwaitEnded waits until other nodes had time to tell which start of the backend server
+	// had ended before this process began, or until ctx ends.
 	AwaitEnded(ctx context.Context)
 	// Leave announces that this node is shutting down.
 	Leave()
--- a/plugin/directory/directory.go
+++ b/plugin/directory/directory.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,8 +50,8 @@
 	provedAt       atomic.Int64  // latest time, in ns since started, at which the table is proved to have held every change that the store had acknowledged
 	started        time.Time
 	failing        failingMembers // members that recently did not answer a sync
-	askedOnce      sync.Once
-	asked          chan struct{} // closed once the witnesses were asked for ended starts
+	stateKnown     chan struct{}  // closed once the table holds a state
+	asked          chan struct{}  // closed once the witnesses had time to tell of ended starts
 
 	hints            chan revisionHint // higher revisions reported by other nodes
 	refreshNow       chan struct{}     // signals that the store must be read now
@@ -72,6 +71,7 @@
 		registration:     membership.NewRegistration(membership.DefaultRegistrationConfig(), rng),
 		self:             membership.Member{ID: k.NodeID, Addr: k.Settings.Listen.Peer, Region: k.Settings.Node.Region, Domain: k.Settings.Node.FailureDomain},
 		started:          time.Now(),
+		stateKnown:       make(chan struct{}),
 		asked:            make(chan struct{}),
 		hints:            make(chan revisionHint, 1),
 		refreshNow:       make(chan struct{}, 1),
@@ -180,6 +180,7 @@
 	}
 	d.revision.Store(d.table.Revision())
 	if first && d.table.Revision() > 0 {
+		close(d.stateKnown)
 		d.log.Info("state_known", zap.Uint64("revision", revision), zap.Int("keys", len(entries)))
 	}
 	own, _ := d.table.Get(d.ownKey())
--- a/plugin/directory/ended.go
+++ b/plugin/directory/ended.go
@@ -29,8 +29,10 @@
 	// tellInterval is the time between two messages to the witnesses while the store does
 	// not hold the end. A witness may have restarted in between.
 	tellInterval = 2 * time.Second
-	// stateCheckInterval is the time between two checks whether the members are known.
-	stateCheckInterval = 50 * time.Millisecond
+	// firstAnswerWait is how long the first reports of the backend server wait for the
+	// witnesses once the members are known. Witnesses that run answer within a round trip in
+	// the region; those that have just started too, as after a loss of power, know nothing.
+	firstAnswerWait = 50 * time.Millisecond
 	// askInterval is the time between two rounds of questions.
 	askInterval = 500 * time.Millisecond
 	// askLimit is how long a new process asks. Witnesses do not remember an end for longer.
@@ -140,18 +142,21 @@
 // askForEnded asks the witnesses, once the members are known, which start of the backend
 // server has ended while an earlier process of this node ran.
 func (d *directory) askForEnded() {
+	select {
+	case <-d.stateKnown:
+	case <-d.ctx.Done():
+		return
+	}
+	stopWaiting := sync.OnceFunc(func() { close(d.asked) })
+	time.AfterFunc(firstAnswerWait, stopWaiting)
 	for time.Since(d.started) < askLimit {
-		wait := stateCheckInterval
-		if d.revision.Load() > 0 {
-			enough := d.askOnce()
-			d.askedOnce.Do(func() { close(d.asked) })
-			if enough {
-				return
-			}
-			wait = askInterval
+		enough := d.askOnce()
+		stopWaiting()
+		if enough {
+			return
 		}
 		select {
-		case <-time.After(wait):
+		case <-time.After(askInterval):
 		case <-d.ctx.Done():
 			return
 		}
