--- a/plugin/directory/directory.go
+++ b/plugin/directory/directory.go
@@ -180,7 +180,6 @@
 	}
 	d.revision.Store(d.table.Revision())
 	if first && d.table.Revision() > 0 {
-		close(d.stateKnown)
 		d.log.Info("state_known", zap.Uint64("revision", revision), zap.Int("keys", len(entries)))
 	}
 	own, _ := d.table.Get(d.ownKey())
@@ -193,6 +192,9 @@
 	if len(changes) > 0 {
 		d.publish()
 	}
+	if first && d.table.Revision() > 0 {
+		close(d.stateKnown)
+	}
 }
 
 func (d *directory) ownKey() string { return membership.Key(d.k.Settings.Node.ID) }
