--- a/plugin/caller/hedge_test.go
+++ b/plugin/caller/hedge_test.go
@@ -70,32 +70,39 @@
 
 func (*slowBody) Close() error { return nil }
 
-// hedgedTransport answers the first attempt after firstAnswer, with a body that is longer than
-// the buffer, and the second one after secondAnswer.
+// hedgedTransport answers the first attempt once there is a second one, with a body that is
+// longer than the buffer, and the second one once the answer of the first is passed on.
 type hedgedTransport struct {
 	kernel.Transport
-	calls                     atomic.Int32
-	firstAnswer, secondAnswer <-chan time.Time
-	secondDone                chan struct{}
-	released                  chan struct{}
+	calls     atomic.Int32
+	second    chan struct{} // closed once there is a second attempt
+	passedOn  chan struct{} // closed once the caller has an answer
+	secondEnd chan struct{} // closed when the second attempt returns
+	released  chan struct{}
 }
 
 func (tr *hedgedTransport) Call(ctx context.Context, _ string, _ *kernel.Attempt) (*kernel.Answer, error) {
-	if tr.calls.Add(1) == 1 {
-		<-tr.firstAnswer
-		body := &slowBody{ctx: ctx, first: bytes.NewReader(make([]byte, 2*testBufferBytes)), released: tr.released}
-		return &kernel.Answer{Result: call.Result{Outcome: call.Answered, Status: http.StatusOK}, Body: body, Trailer: &kernel.Trailer{}}, nil
+	ok := call.Result{Outcome: call.Answered, Status: http.StatusOK}
+	if tr.calls.Add(1) > 1 {
+		defer close(tr.secondEnd)
+		close(tr.second)
+		<-tr.passedOn
+		return &kernel.Answer{Result: ok, Body: io.NopCloser(bytes.NewReader(nil)), Trailer: &kernel.Trailer{}}, nil
 	}
-	defer close(tr.secondDone)
-	<-tr.secondAnswer
-	return &kernel.Answer{Result: call.Result{Outcome: call.Answered, Status: http.StatusOK}, Body: io.NopCloser(bytes.NewReader(nil)), Trailer: &kernel.Trailer{}}, nil
+	select {
+	case <-tr.second:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	body := &slowBody{ctx: ctx, first: bytes.NewReader(make([]byte, 2*testBufferBytes)), released: tr.released}
+	return &kernel.Answer{Result: ok, Body: body, Trailer: &kernel.Trailer{}}, nil
 }
 
 // TestSecondAttemptLeavesTheAnswerThatIsPassedOn lets the second attempt of a slow request succeed
 // while the long answer of the first is being read. It guards against an answer that is cut in
 // the middle.
 func TestSecondAttemptLeavesTheAnswerThatIsPassedOn(t *testing.T) {
-	const deadline = time.Second
+	const deadline = 2 * time.Second // the second attempt is made after 0.6 of it
 	s := &settings.Settings{}
 	s.Limits.BufferBytes = testBufferBytes
 	s.Bounds.RetryRatio, s.Bounds.RetrySlack, s.Bounds.RetryWindow = 0.2, 50, 10*time.Second
@@ -104,11 +111,7 @@
 		t.Fatal(err)
 	}
 	k.Fleet, k.Replica = twoMembers{}, emptyReplica{}
-	second := time.Duration(hedgeDelayFraction * float64(deadline))
-	tr := &hedgedTransport{
-		firstAnswer: time.After(second + 50*time.Millisecond), secondAnswer: time.After(second + 100*time.Millisecond),
-		secondDone: make(chan struct{}), released: make(chan struct{}),
-	}
+	tr := &hedgedTransport{second: make(chan struct{}), passedOn: make(chan struct{}), secondEnd: make(chan struct{}), released: make(chan struct{})}
 	k.Transport = tr
 	c := newCaller(k)
 	for range 100 {
@@ -121,11 +124,8 @@
 	if ans.Outcome != call.Answered {
 		t.Fatalf("%+v", ans.Result)
 	}
-	select {
-	case <-tr.secondDone:
-	case <-time.After(5 * time.Second):
-		t.Fatal("there was no second attempt")
-	}
+	close(tr.passedOn)
+	<-tr.secondEnd
 	time.Sleep(50 * time.Millisecond) // the second attempt has been counted as a success
 	close(tr.released)
 	body, err := io.ReadAll(ans.Body)
--- a/plugin/target/start_test.go
+++ b/plugin/target/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,10 +19,12 @@
 type startingFleet struct {
 	silentFleet
 	asked chan struct{}
+	waits *atomic.Int32
 }
 
 // AwaitEnded implements kernel.Fleet.
 func (f startingFleet) AwaitEnded(ctx context.Context) {
+	f.waits.Add(1)
 	select {
 	case <-f.asked:
 	case <-ctx.Done():
@@ -37,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := startingFleet{asked: make(chan struct{})}
+	f := startingFleet{asked: make(chan struct{}), waits: &atomic.Int32{}}
 	k.Fleet = f
 	return newTarget(k), f
 }
@@ -68,23 +71,16 @@
 // the node cannot ask, and against an end that waits for the answer: its acknowledgement must
 // leave time for the record.
 func TestReportIsBelievedIfNobodyAnswers(t *testing.T) {
-	target, _ := startingTarget(t)
+	target, f := startingTarget(t)
 	report := lifecycle.Report{Instance: "i", Born: 1000, Sequence: 3, Service: "rates", Address: "127.0.0.1:1"}
 	target.Report(context.Background(), report)
 	if target.Status().Leaving {
 		t.Error("the backend server is not in use")
 	}
 	report.Sequence, report.Draining = 4, true
-	drained := make(chan struct{})
-	go func() {
-		target.Report(context.Background(), report)
-		close(drained)
-	}()
-	select {
-	case <-drained:
-	case <-time.After(awaitEndedTimeout / 2):
-		t.Error("the drain waits for other nodes")
-		<-drained
+	target.Report(context.Background(), report)
+	if n := f.waits.Load(); n != 1 {
+		t.Errorf("%d reports have waited for other nodes, and one was a drain", n)
 	}
 	if !target.Status().Leaving {
 		t.Error("the drained backend server is in use")
