--- a/review/platform/fleet/main.go
+++ b/review/platform/fleet/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(f *fleet) error{
 	"quarantine": runQuarantine,
 	"checkin":    runCheckIn,
+	"header":     runHeader,
 }
 
 func main() {
