--- a/review/platform/fleet/main.go
+++ b/review/platform/fleet/main.go
@@ -28,6 +28,7 @@
 	"quarantine": runQuarantine,
 	"checkin":    runCheckIn,
 	"header":     runHeader,
+	"path":       runPath,
 }
 
 func main() {
