--- a/review/platform/fleet/fleet.go
+++ b/review/platform/fleet/fleet.go
@@ -240,6 +240,19 @@
 	<-n.exited
 }
 
+// restartAll kills every node and starts it again.
+func (f *fleet) restartAll() error {
+	for _, n := range f.nodes {
+		n.kill()
+	}
+	for _, n := range f.nodes {
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	return awaitReady(f.nodes)
+}
+
 // logged returns how often the log of the node contains a text.
 func (n *node) logged(text string) int {
 	log, err := os.ReadFile(filepath.Join(n.fleet.dir, n.name+".log"))
--- a/review/platform/fleet/quarantine.go
+++ b/review/platform/fleet/quarantine.go
@@ -180,6 +180,15 @@
 			f.record("%s has quarantined %d requests", n.name, k)
 		}
 	}
+	if f.trouble {
+		if err := f.restartAll(); err != nil {
+			return err
+		}
+		time.Sleep(5 * time.Second)
+		again1, again2 := send("restarted", 3*time.Second)
+		wg.Wait()
+		f.record("after a restart of every node: first route %v; added route %v", again1, again2)
+	}
 	if after2.sent >= 20 && after2.share() < after1.share()/4 {
 		return fmt.Errorf("%w: the added route is served less than a quarter as often as the first", errBroken)
 	}
