--- a/review/platform/fleet/main.go
+++ b/review/platform/fleet/main.go
@@ -29,6 +29,7 @@
 	"checkin":    runCheckIn,
 	"header":     runHeader,
 	"path":       runPath,
+	"pipeline":   runPipeline,
 }
 
 func main() {
