--- a/review/platform/fleet/fleet.go
+++ b/review/platform/fleet/fleet.go
@@ -35,6 +35,8 @@
 	started time.Time
 	closing sync.Once
 
+	firstRevision uint64 // added to the revisions of the store
+
 	mu      sync.Mutex
 	log     *os.File
 	nodes   []*node
@@ -171,6 +173,9 @@
 		return nil, err
 	}
 	server := &http.Server{Handler: n.store}
+	if f.firstRevision > 0 {
+		server.Handler = &laterCounter{store: n.store, first: f.firstRevision}
+	}
 	go server.Serve(ln)
 	f.atEnd(func() { server.Close() })
 	n.storeURL = ln.Addr().String()
--- /dev/null
+++ b/review/platform/fleet/lapse.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	kvstandin "github.com/dogwoodhatch/dogwoodhatch/platform/kv/standin"
+)
+
+// Bounds and doses of the small sites.
+const (
+	drainBound    = 2500 * time.Millisecond
+	stableWindow  = 3 * time.Second
+	storeDownFor  = 4400 * time.Millisecond
+	nodesDownFor  = time.Second
+	leftServesFor = 16 * time.Second // how long the backend server serves after it has left
+)
+
+// runLapse lets a backend server leave. Then the store is down, leases run out meanwhile, and all
+// nodes are killed at the same moment. A check-in that the backend server had sent before it left
+// arrives late. No request may reach the backend server any more.
+func runLapse(f *fleet) error {
+	const host = "shop.example"
+	nodes, servers, err := f.startServers("catalog", 3, 20*time.Millisecond)
+	if err != nil {
+		return err
+	}
+	if _, _, err := f.startServers("stock", 3, 20*time.Millisecond); err != nil {
+		return err
+	}
+	if err := awaitReady(f.nodes); err != nil {
+		return err
+	}
+	if err := f.publish(desiredState(1, host, route("items", "idempotent", "/items/", "catalog", "2s", 2))); err != nil {
+		return err
+	}
+	time.Sleep(6 * time.Second)
+	client := newClient(f.nodes[len(f.nodes)-1])
+	before := client.sendSteadily(http.MethodGet, host, "/items/", "before", 20*time.Millisecond, 2*time.Second)
+	left, victim := nodes[0], servers[0]
+	f.record("before: %v; the backend server that will leave ran %d", before, len(victim.Executions()))
+
+	late := victim.NextHeartbeat()
+	victim.StopHeartbeats()
+	sent := time.Now()
+	time.Sleep(300 * time.Millisecond)
+	victim.Leave()
+	acknowledged := victim.EndAcknowledgedAt()
+	if acknowledged.IsZero() {
+		return fmt.Errorf("the leave was not acknowledged")
+	}
+	f.record("the backend server at %s leaves, acknowledged; it goes on serving", left.name)
+	time.Sleep(700 * time.Millisecond)
+	if f.trouble {
+		f.setStore(kvstandin.Faults{Reset: true})
+		f.store.Act(kvstandin.Actions{EndLeases: true})
+		down := time.Now()
+		f.record("the store is down, and leases run out")
+		time.Sleep(time.Second)
+		for _, n := range f.nodes {
+			n.kill()
+		}
+		f.record("all nodes are killed")
+		time.Sleep(nodesDownFor)
+		for _, n := range f.nodes {
+			if err := n.start(); err != nil {
+				return err
+			}
+		}
+		time.Sleep(time.Until(down.Add(storeDownFor)))
+		f.setStore(kvstandin.Faults{})
+		f.record("the store is back")
+		if err := awaitReady(f.nodes); err != nil {
+			return err
+		}
+	} else {
+		time.Sleep(storeDownFor)
+	}
+	calm := time.Now()
+	time.Sleep(time.Second)
+	victim.SendHeartbeatBody(late)
+	f.record("a check-in that it had sent before it left arrives, %.1f s late", time.Since(sent).Seconds())
+	time.Sleep(time.Until(calm.Add(stableWindow)))
+
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i, n := range f.nodes {
+		wg.Go(func() {
+			t := newClient(n).sendSteadily(http.MethodGet, host, "/items/", fmt.Sprint("after-", i), 20*time.Millisecond, 3*time.Second)
+			f.note("%s: %v", n.name, t)
+		})
+	}
+	wg.Wait()
+	reached := 0
+	for _, e := range victim.Executions() {
+		if strings.HasPrefix(e.ID, "after-") && e.StartedAt.Before(acknowledged.Add(leftServesFor)) {
+			reached++
+			f.note("%s reached it %v after the acknowledgement", e.ID, e.StartedAt.Sub(acknowledged))
+		}
+	}
+	f.record("sent from %.1f s after the acknowledgement on, %v after all was calm: %d requests reached it", began.Sub(acknowledged).Seconds(), stableWindow, reached)
+	if reached > 0 && began.Sub(acknowledged) > drainBound {
+		return fmt.Errorf("%w: %d requests reached a backend server that had left", errBroken, reached)
+	}
+	return nil
+}
+
+// setStore sets the faults of the store for every node.
+func (f *fleet) setStore(faults kvstandin.Faults) {
+	for _, n := range f.nodes {
+		n.store.SetFaults(faults)
+	}
+}
--- a/review/platform/fleet/main.go
+++ b/review/platform/fleet/main.go
@@ -30,6 +30,9 @@
 	"header":     runHeader,
 	"path":       runPath,
 	"pipeline":   runPipeline,
+	"abandoned":  runAbandoned,
+	"revision":   runRevision,
+	"lapse":      runLapse,
 }
 
 func main() {
