--- a/review/platform/fleet/lapse.go
+++ b/review/platform/fleet/lapse.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	kvstandin "github.com/dogwoodhatch/dogwoodhatch/platform/kv/standin"
@@ -15,22 +16,20 @@
 	drainBound    = 2500 * time.Millisecond
 	stableWindow  = 3 * time.Second
 	storeDownFor  = 4400 * time.Millisecond
-	nodesDownFor  = time.Second
-	leftServesFor = 16 * time.Second // how long the backend server serves after it has left
+	rollGap       = time.Second            // between two machines that are stopped
+	restartAfter  = 500 * time.Millisecond // a process is started again so long after its end
+	leftServesFor = 16 * time.Second       // how long the backend server serves after it has left
 )
 
-// runLapse lets a backend server leave. Then the store is down, leases run out meanwhile, and all
-// nodes are killed at the same moment. A check-in that the backend server had sent before it left
-// arrives late. No request may reach the backend server any more.
+// runLapse lets a backend server leave. Then the store is down, and leases run out meanwhile. Without
+// and with that, the machines are stopped and started in turn, last the one beside the backend server,
+// and a check-in that this had sent before it left arrives late. No request may reach it any more.
 func runLapse(f *fleet) error {
 	const host = "shop.example"
 	nodes, servers, err := f.startServers("catalog", 3, 20*time.Millisecond)
 	if err != nil {
 		return err
 	}
-	if _, _, err := f.startServers("stock", 3, 20*time.Millisecond); err != nil {
-		return err
-	}
 	if err := awaitReady(f.nodes); err != nil {
 		return err
 	}
@@ -38,7 +37,7 @@
 		return err
 	}
 	time.Sleep(6 * time.Second)
-	client := newClient(f.nodes[len(f.nodes)-1])
+	client := newClient(nodes[len(nodes)-1])
 	before := client.sendSteadily(http.MethodGet, host, "/items/", "before", 20*time.Millisecond, 2*time.Second)
 	left, victim := nodes[0], servers[0]
 	f.record("before: %v; the backend server that will leave ran %d", before, len(victim.Executions()))
@@ -53,34 +52,26 @@
 		return fmt.Errorf("the leave was not acknowledged")
 	}
 	f.record("the backend server at %s leaves, acknowledged; it goes on serving", left.name)
-	time.Sleep(700 * time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
 	if f.trouble {
 		f.setStore(kvstandin.Faults{Reset: true})
 		f.store.Act(kvstandin.Actions{EndLeases: true})
-		down := time.Now()
 		f.record("the store is down, and leases run out")
-		time.Sleep(time.Second)
-		for _, n := range f.nodes {
-			n.kill()
-		}
-		f.record("all nodes are killed")
-		time.Sleep(nodesDownFor)
-		for _, n := range f.nodes {
-			if err := n.start(); err != nil {
-				return err
-			}
-		}
-		time.Sleep(time.Until(down.Add(storeDownFor)))
+	}
+	back := time.AfterFunc(storeDownFor, func() {
 		f.setStore(kvstandin.Faults{})
-		f.record("the store is back")
-		if err := awaitReady(f.nodes); err != nil {
-			return err
-		}
-	} else {
-		time.Sleep(storeDownFor)
+		f.record("the store answers")
+	})
+	defer back.Stop()
+	if err := f.roll([]*node{nodes[1], nodes[2], nodes[0]}); err != nil {
+		return err
+	}
+	if err := awaitReady(f.nodes); err != nil {
+		return err
 	}
 	calm := time.Now()
-	time.Sleep(time.Second)
+	f.record("all nodes are ready again")
+	time.Sleep(300 * time.Millisecond)
 	victim.SendHeartbeatBody(late)
 	f.record("a check-in that it had sent before it left arrives, %.1f s late", time.Since(sent).Seconds())
 	time.Sleep(time.Until(calm.Add(stableWindow)))
@@ -89,7 +80,7 @@
 	var wg sync.WaitGroup
 	for i, n := range f.nodes {
 		wg.Go(func() {
-			t := newClient(n).sendSteadily(http.MethodGet, host, "/items/", fmt.Sprint("after-", i), 20*time.Millisecond, 3*time.Second)
+			t := newClient(n).sendSteadily(http.MethodGet, host, "/items/", fmt.Sprint("after-", i), 20*time.Millisecond, 2500*time.Millisecond)
 			f.note("%s: %v", n.name, t)
 		})
 	}
@@ -114,3 +105,29 @@
 		n.store.SetFaults(faults)
 	}
 }
+
+// roll stops nodes with SIGTERM in turn, and starts each again after its end.
+func (f *fleet) roll(nodes []*node) error {
+	var wg sync.WaitGroup
+	failed := make(chan error, len(nodes))
+	for i, n := range nodes {
+		if i > 0 {
+			time.Sleep(rollGap)
+		}
+		f.record("%s is stopped", n.name)
+		if err := n.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		wg.Go(func() {
+			<-n.exited
+			time.Sleep(restartAfter)
+			f.record("%s starts again", n.name)
+			if err := n.start(); err != nil {
+				failed <- err
+			}
+		})
+	}
+	wg.Wait()
+	close(failed)
+	return <-failed
+}
