Review case 10: wider margins between the stops and the outage

The stops begin 0.3 s before the outage, and a machine starts again 0.8 s after its end, so that no stopped process outlives the outage on a slow machine.

--- a/review/platform/fleet/lapse.go
+++ b/review/platform/fleet/lapse.go
@@ -17,7 +17,7 @@
 	stableWindow  = 3 * time.Second
 	storeDownFor  = 4400 * time.Millisecond
 	rollGap       = time.Second            // between two machines that are stopped
-	restartAfter  = 500 * time.Millisecond // a process is started again so long after its end
+	restartAfter  = 800 * time.Millisecond // a process is started again so long after its end
 	leftServesFor = 16 * time.Second       // how long the backend server serves after it has left
 )
 
@@ -52,13 +52,16 @@
 		return fmt.Errorf("the leave was not acknowledged")
 	}
 	f.record("the backend server at %s leaves, acknowledged; it goes on serving", left.name)
-	time.Sleep(500 * time.Millisecond)
-	if f.trouble {
-		f.setStore(kvstandin.Faults{Reset: true})
-		f.store.Act(kvstandin.Actions{EndLeases: true})
-		f.record("the store is down, and leases run out")
-	}
-	back := time.AfterFunc(storeDownFor, func() {
+	time.Sleep(200 * time.Millisecond)
+	down := time.AfterFunc(300*time.Millisecond, func() {
+		if f.trouble {
+			f.setStore(kvstandin.Faults{Reset: true})
+			f.store.Act(kvstandin.Actions{EndLeases: true})
+			f.record("the store is down, and leases run out")
+		}
+	})
+	defer down.Stop()
+	back := time.AfterFunc(300*time.Millisecond+storeDownFor, func() {
 		f.setStore(kvstandin.Faults{})
 		f.record("the store answers")
 	})
