Review cases 6 and 10: kept inside the limits of their disruptions

Case 6 had its backends down for longer than 4.5 s and more requests than the sheet; case 10 ended leases at once, which the bench does not. Both now keep the limits that they quote.

--- a/review/platform/fleet/lapse.go
+++ b/review/platform/fleet/lapse.go
@@ -16,14 +16,15 @@
 	drainBound    = 2500 * time.Millisecond
 	stableWindow  = 3 * time.Second
 	storeDownFor  = 4400 * time.Millisecond
-	rollGap       = time.Second            // between two machines that are stopped
-	restartAfter  = 800 * time.Millisecond // a process is started again so long after its end
-	leftServesFor = 16 * time.Second       // how long the backend server serves after it has left
+	rollGap       = time.Second             // between two machines that are stopped
+	restartAfter  = 800 * time.Millisecond  // a process is started again so long after its end
+	lastStart     = 8700 * time.Millisecond // the last one, so long after the first was stopped
+	leftServesFor = 16 * time.Second        // how long the backend server serves after it has left
 )
 
-// runLapse lets a backend server leave. Then the store is down, and leases run out meanwhile. Without
-// and with that, the machines are stopped and started in turn, last the one beside the backend server,
-// and a check-in that this had sent before it left arrives late. No request may reach it any more.
+// runLapse lets a backend server leave. Then the store is down, and the time of leases goes on meanwhile.
+// Without and with that, the machines are stopped and started in turn, last the one beside the backend
+// server, and a check-in that this had sent before it left arrives late. No request may reach it any more.
 func runLapse(f *fleet) error {
 	const host = "shop.example"
 	nodes, servers, err := f.startServers("catalog", 3, 20*time.Millisecond)
@@ -45,6 +46,8 @@
 	late := victim.NextHeartbeat()
 	victim.StopHeartbeats()
 	sent := time.Now()
+	rolled := make(chan error, 1)
+	go func() { rolled <- f.roll([]*node{nodes[1], nodes[2], left}, sent.Add(lastStart)) }()
 	time.Sleep(300 * time.Millisecond)
 	victim.Leave()
 	acknowledged := victim.EndAcknowledgedAt()
@@ -52,21 +55,16 @@
 		return fmt.Errorf("the leave was not acknowledged")
 	}
 	f.record("the backend server at %s leaves, acknowledged; it goes on serving", left.name)
-	time.Sleep(200 * time.Millisecond)
-	down := time.AfterFunc(300*time.Millisecond, func() {
-		if f.trouble {
-			f.setStore(kvstandin.Faults{Reset: true})
-			f.store.Act(kvstandin.Actions{EndLeases: true})
-			f.record("the store is down, and leases run out")
-		}
-	})
-	defer down.Stop()
-	back := time.AfterFunc(300*time.Millisecond+storeDownFor, func() {
+	if f.trouble {
+		f.setStore(kvstandin.Faults{Reset: true})
+		f.record("the store is down; the time of leases goes on")
+	}
+	back := time.AfterFunc(storeDownFor, func() {
 		f.setStore(kvstandin.Faults{})
 		f.record("the store answers")
 	})
 	defer back.Stop()
-	if err := f.roll([]*node{nodes[1], nodes[2], nodes[0]}); err != nil {
+	if err := <-rolled; err != nil {
 		return err
 	}
 	if err := awaitReady(f.nodes); err != nil {
@@ -109,8 +107,8 @@
 	}
 }
 
-// roll stops nodes with SIGTERM in turn, and starts each again after its end.
-func (f *fleet) roll(nodes []*node) error {
+// roll stops nodes with SIGTERM in turn, and starts each again after its end, the last one at a time.
+func (f *fleet) roll(nodes []*node, lastAt time.Time) error {
 	var wg sync.WaitGroup
 	failed := make(chan error, len(nodes))
 	for i, n := range nodes {
@@ -123,7 +121,11 @@
 		}
 		wg.Go(func() {
 			<-n.exited
+			f.record("%s has ended", n.name)
 			time.Sleep(restartAfter)
+			if i == len(nodes)-1 {
+				time.Sleep(time.Until(lastAt))
+			}
 			f.record("%s starts again", n.name)
 			if err := n.start(); err != nil {
 				failed <- err
--- a/review/platform/fleet/quarantine.go
+++ b/review/platform/fleet/quarantine.go
@@ -9,15 +9,24 @@
 	"github.com/dogwoodhatch/dogwoodhatch/platform/standin"
 )
 
-// The service is like receipt-vault on the sheet of bthf-mesh: 24 backend servers in 6 zones,
-// 246 requests a second of 400 ms each. Those of one zone crash for 4.5 s.
+// The service is like receipt-vault on the sheet of bthf-mesh: 24 backend servers with 63 slots in
+// 6 zones, 5 in the first one, and 246 requests a second of 400 ms each, 120 of them on the first
+// route. The backend servers of that zone crash for 4.5 s. One machine in each zone has clients.
 const (
-	crashServers = 24
-	crashed      = crashServers / 6
-	crashFor     = 4500 * time.Millisecond
-	crashWork    = 400 * time.Millisecond
+	crashZones    = 6
+	crashServers  = 24
+	crashed       = 5
+	crashSlots    = 63
+	crashQueue    = 108
+	crashFor      = 4500 * time.Millisecond
+	crashWork     = 400 * time.Millisecond
+	firstInterval = 50 * time.Millisecond    // between two requests of a machine on the first route
+	addedInterval = 47600 * time.Microsecond // and on the added one
 )
 
+// crashZone returns the zone of a backend server: 5, 4, 4, 4, 4 and 3 of them are in one.
+func crashZone(i int) int { return max(i-1, 0) / 4 }
+
 // tally counts the requests of a kind and those that were served.
 type tally struct {
 	mu           sync.Mutex
@@ -50,16 +59,16 @@
 func runQuarantine(f *fleet) error {
 	const host = "shop.example"
 	var fronts, targets []*node
-	for i := range 3 + crashServers {
-		service, zone := "catalog", fmt.Sprint("zone-", max(i-3, 0)/crashed)
-		if i < 3 {
-			service = "front"
+	for i := range crashZones + crashServers {
+		service, zone := "front", fmt.Sprint("zone-", i)
+		if i >= crashZones {
+			service, zone = "catalog", fmt.Sprint("zone-", crashZone(i-crashZones))
 		}
 		n, err := f.newNode(service, zone, "r")
 		if err != nil {
 			return err
 		}
-		if i < 3 {
+		if i < crashZones {
 			fronts = append(fronts, n)
 		} else {
 			targets = append(targets, n)
@@ -77,7 +86,7 @@
 	startServer := func(i, boot int) error {
 		n := targets[i]
 		b, err := standin.Start(n.addr(portBackend), standin.Options{
-			Instance: fmt.Sprintf("i-%d-%d", i, boot), Service: "catalog", Zone: n.zone, Born: time.Now().UnixMilli(), Slots: 100, QueueLimit: 100,
+			Instance: fmt.Sprintf("i-%d-%d", i, boot), Service: "catalog", Zone: n.zone, Born: time.Now().UnixMilli(), Slots: crashSlots, QueueLimit: crashQueue,
 			WorkTime: crashWork, Control: n.addr(portControl),
 		})
 		if err != nil {
@@ -115,7 +124,7 @@
 		return err
 	}
 	time.Sleep(3 * time.Second)
-	f.record("3 nodes with clients, %d with backend servers of one service; the route of /list/ was added", crashServers)
+	f.record("%d nodes with clients, %d with backend servers of one service; the route of /list/ was added", crashZones, crashServers)
 
 	var wg sync.WaitGroup
 	send := func(phase string, d time.Duration) (onFirst, onAdded *tally) {
@@ -129,9 +138,9 @@
 				}
 				wg.Go(func() {
 					var inner sync.WaitGroup
-					interval := 50 * time.Millisecond
+					interval := firstInterval
 					if k == 1 {
-						interval = 12 * time.Millisecond
+						interval = addedInterval
 					}
 					for end, i := time.Now().Add(d), 0; time.Now().Before(end); i++ {
 						id := fmt.Sprintf("%s-%d-%d-%d", phase, ci, k, i)
@@ -156,11 +165,11 @@
 	if f.trouble {
 		time.Sleep(3 * time.Second)
 		f.record("the backend servers of one zone crash, %d of %d", crashed, crashServers)
+		back := time.Now().Add(crashFor)
 		for i := range crashed {
 			servers[i].Crash()
 		}
-		wg.Wait()
-		time.Sleep(crashFor - time.Second)
+		time.Sleep(time.Until(back))
 		for i := range crashed {
 			if err := startServer(i, 2); err != nil {
 				return err
