Bound the memory of the heads of callers' requests

Callers saw nodes end: clients that sent heads of legal size made of very many short or oddly named lines took all memory of the process.

Cause: a parsed head takes some 30 times its size (an entry of a map, slices and strings for each line), and it is held as it was read, parsed, forwarded and as a message to the target node. Only the size of one head was limited. 32 requests of each connection are read ahead, and nothing bound their sum over the connections.

Change: headbudget bounds what is held for heads, by their parsed size. A connection keeps its buffer of 4 KB; a larger head takes room before the buffer grows, and again for its parsed size before it is parsed. It holds that until it is answered. One connection gets an eighth at most unless it is alone, so a single request inside the limits is always served. A connection without room is not read, which costs a socket; after 2 s without a request in flight it gets 503, not run. Ordinary heads cost nothing and never wait. Requests that are read ahead are bounded over all connections too, since each takes some 20 KB whatever its head is.

Ruled out: a limit on the lines of one head, which refuses requests that are allowed; charging heads as they arrive from one budget with parsed ones, with which half-read heads fill it and none can end.

--- a/Makefile
+++ b/Makefile
@@ -13,11 +13,13 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-# Skips the tests on "test:" lines in KNOWN-RED.txt, and prints that file.
+# Skips the tests on "test:" lines in KNOWN-RED.txt, and prints that file. The tests with crowds of
+# clients run last and one at a time, because they measure memory.
 test: KNOWN_RED = $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 test:
 	@if grep -q '^[a-z]*: ' KNOWN-RED.txt; then echo "known to fail; tests among these are not run:"; cat KNOWN-RED.txt; fi
-	$(GO) test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	$(GO) test -count=1 -skip '^(TestCrowd.*$(if $(KNOWN_RED),|$(KNOWN_RED)))$$' ./...
+	$(GO) test -count=1 -run '^TestCrowd' $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') -v ./platform/e2e
 
 demo: build
 	scripts/demo.sh
--- a/call/call.go
+++ b/call/call.go
@@ -95,6 +95,7 @@
 	ReasonQuota       Reason = "quota"        // the team has used up its quota
 	ReasonNoState     Reason = "no_state"     // this node has not received a desired state yet
 	ReasonBodyRoom    Reason = "body_room"    // the node had no room for the body of the request in time
+	ReasonHeadRoom    Reason = "head_room"    // the node had no room for the head of the request in time
 	ReasonUnproved    Reason = "unproved"     // the backend server refused without proof that it did not run
 	ReasonMisdirected Reason = "misdirected"  // the address now belongs to another backend server
 )
--- a/e2e/process/process.go
+++ b/e2e/process/process.go
@@ -94,18 +94,38 @@
 // Start runs a program and appends its standard output and error to dir/name.log.
 func Start(t *testing.T, dir, name, program string, args ...string) *Process {
 	t.Helper()
-	out, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	out, err := openLog(dir, name)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return StartWithOutput(t, out, program, args...)
 }
 
+// StartWithDescriptors is Start for a process that may have limit open descriptors.
+func StartWithDescriptors(t *testing.T, dir, name string, limit int, program string, args ...string) *Process {
+	t.Helper()
+	out, err := openLog(dir, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, limit)
+	return startCommand(t, out, exec.Command("/bin/sh", append([]string{"-c", script, filepath.Join(binDir, program)}, args...)...))
+}
+
+func openLog(dir, name string) (*os.File, error) {
+	return os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+}
+
 // StartWithOutput runs a program with out as its standard output and error. It closes
 // out when the program exits.
 func StartWithOutput(t *testing.T, out *os.File, program string, args ...string) *Process {
 	t.Helper()
-	p := &Process{cmd: exec.Command(filepath.Join(binDir, program), args...), exited: make(chan struct{})}
+	return startCommand(t, out, exec.Command(filepath.Join(binDir, program), args...))
+}
+
+func startCommand(t *testing.T, out *os.File, cmd *exec.Cmd) *Process {
+	t.Helper()
+	p := &Process{cmd: cmd, exited: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -120,6 +140,9 @@
 	return p
 }
 
+// Pid returns the process id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
 
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
 	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
 )
 
@@ -40,6 +41,10 @@
 	pipelineSlots chan struct{} // holds a token for each further request that may be served concurrently
 	lastWritten   chan struct{} // closed once the answer to the latest request is written
 
+	reading, parsed, readAhead *headbudget.Account
+	headDeadline               time.Time // until which the head that is read must have arrived
+	readingRoom                int64     // that the buffer of br holds of reading; 0 for one of connBufferBytes
+
 	mu         sync.Mutex
 	unanswered int  // requests that have been read but not answered
 	receiving  bool // the next request has begun to arrive
@@ -49,6 +54,8 @@
 
 func newServerConn(s *Server, nc net.Conn) *serverConn {
 	c := &serverConn{server: s, netConn: nc, pipelineSlots: make(chan struct{}, s.opts.MaxPipelined), lastWritten: make(chan struct{})}
+	heads := s.opts.Heads
+	c.reading, c.parsed, c.readAhead = heads.Reading.Account(), heads.Callers.Account(), heads.ReadAhead.Account()
 	c.limitReader = &io.LimitedReader{R: nc}
 	c.br = bufio.NewReaderSize(c.limitReader, connBufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -62,17 +69,31 @@
 // serve reads requests until the caller disconnects or an answer ends the connection.
 func (c *serverConn) serve() {
 	defer c.server.removeConn(c)
+	defer c.returnReadingRoom()
 	defer c.netConn.Close()
 	defer c.cancel()
 	for c.waitForRequest() {
+		room, err := c.readHead()
+		switch err {
+		case nil:
+		case errNoHeadRoom:
+			c.refuseHead()
+			return
+		case errHeadTooLarge:
+			c.reject(http.StatusRequestHeaderFieldsTooLarge)
+			return
+		default:
+			return
+		}
 		req, status := c.readRequest()
 		if req == nil {
+			c.returnHeadRoom(room)
 			if status != 0 {
 				c.reject(status)
 			}
 			return
 		}
-		unread, ok := c.dispatch(req)
+		unread, ok := c.dispatch(req, room)
 		if !ok || unread != nil && !c.awaitBody(unread) {
 			return
 		}
@@ -91,8 +112,9 @@
 // waitForRequest waits until a request begins to arrive. It returns false if the
 // connection is idle too long, fails or is ending.
 func (c *serverConn) waitForRequest() bool {
+	c.shrinkBuffer()
 	c.limitReader.N = c.server.opts.MaxHeaderBytes
-	c.netConn.SetReadDeadline(time.Now().Add(c.server.opts.IdleTimeout))
+	c.netConn.SetReadDeadline(time.Now().Add(c.server.opts.IdleTimeout()))
 	for {
 		_, err := c.br.Peek(1)
 		if err == nil {
@@ -100,7 +122,7 @@
 		}
 		var ne net.Error
 		if errors.As(err, &ne) && ne.Timeout() && c.inFlight() > 0 && !c.isEnding() {
-			c.netConn.SetReadDeadline(time.Now().Add(c.server.opts.IdleTimeout))
+			c.netConn.SetReadDeadline(time.Now().Add(c.server.opts.IdleTimeout()))
 			continue // not idle: the caller is waiting for answers
 		}
 		return false
@@ -118,15 +140,23 @@
 	return c.unanswered
 }
 
-// readRequest reads one request with its body. If it returns no request, the status is
-// that of the answer to send, or 0 for none.
+// readHead reads the head of a request into the buffer and takes room for it.
+func (c *serverConn) readHead() (headRoom, error) {
+	c.headDeadline = time.Now().Add(c.server.opts.HeaderTimeout())
+	c.netConn.SetReadDeadline(c.headDeadline)
+	s, err := c.bufferHead()
+	if err != nil {
+		return headRoom{}, err
+	}
+	return c.takeHeadRoom(s)
+}
+
+// readRequest reads one request, whose head is in the buffer, with its body. If it returns
+// no request, the status is that of the answer to send, or 0 for none.
 func (c *serverConn) readRequest() (*http.Request, int) {
-	c.netConn.SetReadDeadline(time.Now().Add(c.server.opts.HeaderTimeout))
 	req, err := http.ReadRequest(c.br)
 	switch {
 	case err == nil:
-	case c.limitReader.N <= 0:
-		return nil, http.StatusRequestHeaderFieldsTooLarge
 	case isConnError(err):
 		return nil, 0
 	default:
@@ -185,13 +215,16 @@
 		case <-ready:
 			return true
 		case <-ticker.C:
-			if sockopt.PeerClosed(c.netConn) {
+			if c.callerLeft() {
 				return false
 			}
 		}
 	}
 }
 
+// callerLeft reports whether the caller has closed the connection, which is not read.
+func (c *serverConn) callerLeft() bool { return sockopt.PeerClosed(c.netConn) }
+
 func isConnError(err error) bool {
 	var ne net.Error
 	return errors.As(err, &ne) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
@@ -200,15 +233,16 @@
 // dispatch starts a goroutine that serves a request, and returns its body if that is yet
 // to be read. It blocks while all pipelineSlots are in use, and returns false if the caller
 // closes the connection meanwhile.
-func (c *serverConn) dispatch(req *http.Request) (*streamedBody, bool) {
+func (c *serverConn) dispatch(req *http.Request, room headRoom) (*streamedBody, bool) {
 	if !c.await(c.pipelineSlots) {
+		c.returnHeadRoom(room)
 		if _, ok := req.Body.(*streamedBody); !ok {
 			c.server.opts.Bodies.Release(max(req.ContentLength, 0))
 		}
 		return nil, false
 	}
 	done := make(chan struct{})
-	w := &response{conn: c, req: req, header: http.Header{}, previousWritten: c.lastWritten}
+	w := &response{conn: c, req: req, header: http.Header{}, previousWritten: c.lastWritten, room: room}
 	c.lastWritten = done
 	c.mu.Lock()
 	c.unanswered++
@@ -242,6 +276,7 @@
 		}
 		c.finishAnswer(w, complete)
 		c.releaseBody(w)
+		c.returnHeadRoom(w.room)
 		close(done)
 		c.pipelineSlots <- struct{}{}
 	}()
@@ -343,12 +378,18 @@
 
 // reject answers an unreadable request with an error status and ends the connection.
 func (c *serverConn) reject(status int) {
+	c.discardBuffer()
 	if !c.await(c.lastWritten) {
 		return
 	}
-	w := &response{conn: c, req: &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}, header: http.Header{}, previousWritten: c.lastWritten, closeAfter: true}
+	w := c.newFinalResponse()
 	http.Error(w, http.StatusText(status), status)
 	// A write error does not matter, because the connection ends in any case.
 	_ = w.finish()
 	c.linger()
 }
+
+// newFinalResponse returns the answer to a request that cannot be read. It ends the connection.
+func (c *serverConn) newFinalResponse() *response {
+	return &response{conn: c, req: &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}, header: http.Header{}, previousWritten: c.lastWritten, closeAfter: true}
+}
--- /dev/null
+++ b/edge/head_test.go
@@ -0,0 +1,133 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
+)
+
+// TestScannerFindsTheEndOfAHead compares the end of heads that arrive in parts with where the
+// parser of net/http stops.
+func TestScannerFindsTheEndOfAHead(t *testing.T) {
+	for head, lines := range map[string]int{
+		"GET / HTTP/1.1\r\nA: b\r\n\r\n": 3,
+		"GET / HTTP/1.1\nA: b\n\n":       3,
+		"GET / HTTP/1.1\r\n\r\n":         2,
+		"\r\n":                           1,
+		"\n":                             1,
+		"a\r\n \r\n\r\n":                 3,
+		"a\r\n\r\r\n\n":                  3,
+	} {
+		for split := range len(head) {
+			var s headScanner
+			if s.scan([]byte(head[:split])) {
+				t.Errorf("%q ends after %d bytes", head, split)
+			}
+			if !s.scan([]byte(head[split:]+"rest\r\n\r\n")) || s.bytes != len(head) || s.lines != lines {
+				t.Errorf("%q split at %d: %+v", head, split, s)
+			}
+		}
+	}
+}
+
+// TestLongHeadsAreFollowedByBodiesAndRequests sends heads that exceed the usual buffer, with a body
+// and with further requests behind them, in one write and byte by byte.
+func TestLongHeadsAreFollowedByBodiesAndRequests(t *testing.T) {
+	opts := DefaultServerOptions()
+	_, addr := startServer(t, opts, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s %d %s %v", r.URL.Path, len(r.Header["A"]), body, err)
+	})
+	var text, want strings.Builder
+	for i, size := range []int{0, 2 << 10, 4 << 10, 10 << 10, 50 << 10, 1} {
+		lines := size / len("a: b\r\n")
+		fmt.Fprintf(&text, "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n%s\r\nbody", i, strings.Repeat("a: b\r\n", lines))
+		fmt.Fprintf(&want, "/%d %d body <nil>", i, lines)
+	}
+	for name, src := range map[string]io.Reader{"at once": strings.NewReader(text.String()), "byte by byte": iotest.OneByteReader(strings.NewReader(text.String()))} {
+		conn, br := dial(t, addr)
+		go io.Copy(conn, src)
+		var got strings.Builder
+		for range 6 {
+			_, body := readAnswer(t, br)
+			got.WriteString(body)
+		}
+		if got.String() != want.String() {
+			t.Errorf("%s: %q, want %q", name, got.String(), want.String())
+		}
+	}
+}
+
+// TestHeadWithoutRoomIsRefused fills the memory for heads. A large head must be refused as not run,
+// an ordinary one served, and a large one again after room is free.
+func TestHeadWithoutRoomIsRefused(t *testing.T) {
+	opts := DefaultServerOptions()
+	opts.Heads = headbudget.NewHeads(1 << 20)
+	opts.RoomTimeout = 100 * time.Millisecond
+	_, addr := startServer(t, opts, func(w http.ResponseWriter, r *http.Request) {})
+	send := func(lines int) *http.Response {
+		conn, br := dial(t, addr)
+		fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: a\r\n%s\r\n", strings.Repeat("a:\r\n", lines))
+		resp, _ := readAnswer(t, br)
+		return resp
+	}
+	for name, b := range map[string]*headbudget.Budget{"reading": opts.Heads.Reading, "parsed": opts.Heads.Callers} {
+		a := b.Account()
+		<-a.Claim(b.Status().Limit).Granted
+		if resp := send(4 << 10); resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !resp.Close {
+			t.Errorf("%s: a large head without room got %d, %v", name, resp.StatusCode, resp.Header)
+		}
+		if resp := send(4); resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: an ordinary head got %d", name, resp.StatusCode)
+		}
+		a.Release(b.Status().Limit)
+		if resp := send(4 << 10); resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: a large head got %d although there is room", name, resp.StatusCode)
+		}
+	}
+	for name, b := range map[string]*headbudget.Budget{"reading": opts.Heads.Reading, "parsed": opts.Heads.Callers, "read ahead": opts.Heads.ReadAhead} {
+		waitForRoom(t, name, b)
+	}
+}
+
+// waitForRoom waits until nothing of a budget is used.
+func waitForRoom(t *testing.T, name string, b *headbudget.Budget) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); b.Status().Used != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: %+v after all requests have ended", name, b.Status())
+		}
+	}
+}
+
+// TestRequestsAreNotReadAheadWithoutRoom uses up the requests that may be read ahead. The requests
+// of a connection must then be served one after the other.
+func TestRequestsAreNotReadAheadWithoutRoom(t *testing.T) {
+	opts := DefaultServerOptions()
+	running := make(chan struct{}, 1)
+	_, addr := startServer(t, opts, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case running <- struct{}{}:
+		default:
+			t.Error("two requests run at a time")
+		}
+		time.Sleep(10 * time.Millisecond)
+		<-running
+	})
+	for range headbudget.MaxReadAhead {
+		<-opts.Heads.ReadAhead.Account().Claim(1).Granted
+	}
+	conn, br := dial(t, addr)
+	io.WriteString(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 4))
+	for range 4 {
+		if resp, _ := readAnswer(t, br); resp.StatusCode != http.StatusOK {
+			t.Errorf("a request that was read late got %d", resp.StatusCode)
+		}
+	}
+}
--- a/edge/response.go
+++ b/edge/response.go
@@ -19,6 +19,7 @@
 	bw              *bufio.Writer // nil before the head and after the end of the answer
 	req             *http.Request
 	body            *streamedBody // of req; nil if it was read before the handler ran
+	room            headRoom      // of the head of req
 	header          http.Header
 	previousWritten <-chan struct{} // closed once the preceding answer is written
 	started         bool
--- a/edge/server.go
+++ b/edge/server.go
@@ -11,23 +11,31 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/bodybudget"
+	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
 	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
 )
 
 // ServerOptions configures a Server.
 type ServerOptions struct {
-	// HeaderTimeout bounds the time from the first byte of a request to the end
-	// of its head, and BodyTimeout the time from there to the end of its body.
-	HeaderTimeout, BodyTimeout time.Duration
+	// HeaderTimeout returns the bound on the time from the first byte of a request to
+	// the end of its head. A shorter one frees what a stalled caller holds earlier.
+	HeaderTimeout func() time.Duration
+	// BodyTimeout bounds the time from the end of the head to the end of the body.
+	BodyTimeout time.Duration
 	// BodyStallTimeout bounds the time in which the next part of a body must arrive.
 	BodyStallTimeout time.Duration
-	// RoomTimeout bounds the wait for room in Bodies where the handler sets no bound.
+	// RoomTimeout bounds the wait for room in Heads, and in Bodies where the handler sets
+	// no bound.
 	RoomTimeout time.Duration
 	// Bodies bounds the memory of all request bodies; nil for no bound.
 	Bodies *bodybudget.Budget
-	// IdleTimeout is how long a connection may be idle before it is closed. It must
+	// Heads bounds the memory of the heads of all requests.
+	Heads *headbudget.Heads
+	// RefuseHead answers a request whose head got no room in Heads. It has not run.
+	RefuseHead func(http.ResponseWriter)
+	// IdleTimeout returns how long a connection may be idle before it is closed. It must
 	// exceed the idle time after which callers still reuse a connection.
-	IdleTimeout time.Duration
+	IdleTimeout func() time.Duration
 	// MaxHeaderBytes limits the size of the head of a request.
 	MaxHeaderBytes int64
 	// MaxBodyBytes returns the size limit of the body of the next request.
@@ -43,11 +51,13 @@
 // DefaultServerOptions returns options for callers that keep connections open.
 func DefaultServerOptions() ServerOptions {
 	return ServerOptions{
-		HeaderTimeout:    10 * time.Second,
+		HeaderTimeout:    func() time.Duration { return 10 * time.Second },
 		BodyTimeout:      time.Minute,
 		BodyStallTimeout: 10 * time.Second,
 		RoomTimeout:      2 * time.Second,
-		IdleTimeout:      2 * time.Minute,
+		Heads:            headbudget.NewHeads(headbudget.DefaultMemory),
+		RefuseHead:       refuseHead,
+		IdleTimeout:      func() time.Duration { return 2 * time.Minute },
 		MaxHeaderBytes:   64 << 10,
 		MaxBodyBytes:     func() int64 { return 64 << 20 },
 		MaxPipelined:     32,
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/bodybudget"
+	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
 	"github.com/dogwoodhatch/dogwoodhatch/logging"
 	"github.com/dogwoodhatch/dogwoodhatch/route"
 	"github.com/dogwoodhatch/dogwoodhatch/settings"
@@ -50,6 +51,7 @@
 	Exchanges  *Exchanges
 	Drain      *Drain
 	Bodies     *bodybudget.Budget // memory for request bodies
+	Heads      *headbudget.Heads  // memory for the heads of requests
 
 	plugins      []namedPlugin
 	started      atomic.Bool
@@ -109,9 +111,10 @@
 // New returns a kernel on which all registered plug-ins have been set up, or the error
 // of the first one whose setup failed.
 func New(s *settings.Settings, nodeID string, log *zap.Logger, reg metrics.Registry) (*Kernel, error) {
-	k := &Kernel{Settings: s, Sampler: logging.NewSampler(s.Log.Sample), NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Records: newRecords(), Routes: &route.ActiveTable{}, Drain: newDrain(), Bodies: newBodyBudget(s)}
+	k := &Kernel{Settings: s, Sampler: logging.NewSampler(s.Log.Sample), NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Records: newRecords(), Routes: &route.ActiveTable{}, Drain: newDrain(), Bodies: newBodyBudget(s), Heads: newHeadBudgets(s)}
 	k.Pulse = newPulse(log, k.Control)
 	k.registerBodyGauges()
+	k.registerHeadGauges()
 	metrics.NewRegisteredFunctionalGauge("process.delay_us", reg, func() int64 { return k.Pulse.Delay().Microseconds() })
 	metrics.NewRegisteredFunctionalGauge("control.wait_us", reg, func() int64 { return k.Control.Wait().Microseconds() })
 	metrics.NewRegisteredFunctionalGauge("control.busy_us", reg, func() int64 { return k.Control.Busy().Microseconds() })
--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/edge"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
@@ -64,6 +65,8 @@
 	opts := edge.DefaultServerOptions()
 	opts.MaxBodyBytes = func() int64 { return int64(max(e.k.Settings.Limits.MaxRequestBytes, maxAnnounceBytes)) }
 	opts.Bodies = e.k.Bodies
+	opts.Heads = e.k.Heads
+	opts.RefuseHead = func(w http.ResponseWriter) { writeRefusal(w, call.ReasonHeadRoom, 0) }
 	srv := edge.NewServer(h, opts, e.log)
 	e.servers = append(e.servers, srv)
 	go func() {
--- a/settings/field.go
+++ b/settings/field.go
@@ -86,6 +86,7 @@
 		{section: "backend", key: "drain_timeout", defaultValue: "30s", set: durationValue(&s.Backend.DrainTimeout, time.Second, 10*time.Minute)},
 		{section: "limits", key: "max_request_bytes", defaultValue: "1048576", set: intValue(&s.Limits.MaxRequestBytes, 0, 1<<30)},
 		{section: "limits", key: "body_memory_bytes", defaultValue: "0", set: intValue(&s.Limits.BodyMemoryBytes, 0, 1<<40)},
+		{section: "limits", key: "head_memory_bytes", defaultValue: "0", set: intValue(&s.Limits.HeadMemoryBytes, 0, 1<<40)},
 		{section: "limits", key: "buffer_bytes", defaultValue: "262144", set: intValue(&s.Limits.BufferBytes, 0, 1<<30)},
 		{section: "log", key: "path", set: stringValue(&s.Log.Path)},
 		{section: "log", key: "level", defaultValue: "info", set: enumValue(&s.Log.Level, "debug", "info", "warn", "error")},
