Bound the memory of the heads of calls at the target node

Callers of a service saw its nodes end when heads of very many short lines came through several other nodes at once.

Cause: a message between nodes is allocated as a whole when its size has arrived, and decodes to some 30 times its size if it holds many header lines. Besides, both ends of a stream keep up to 64 heads of calls and 64 header lines of answers, of whatever size, to refer to them later.

Change: the first message of a stream takes room before it is read if it is above 4 KB: a call from the budget for heads of other nodes, by its size and then by its header lines, which are counted before they are decoded; other messages from a budget of their own, so that heads do not hold up control state. The source does not use a stream again that has carried a large head, in either direction. Both versions understand each other; an old source that uses such a stream again holds the room until the stream ends.

Ruled out: a table that skips large heads at both ends, which an older node would not follow.

--- a/kernel/heads.go
+++ b/kernel/heads.go
@@ -17,7 +17,7 @@
 
 func (k *Kernel) registerHeadGauges() {
 	for name, budget := range map[string]*headbudget.Budget{
-		"reading": k.Heads.Reading, "callers": k.Heads.Callers, "nodes": k.Heads.Nodes, "read_ahead": k.Heads.ReadAhead,
+		"reading": k.Heads.Reading, "callers": k.Heads.Callers, "nodes": k.Heads.Nodes, "messages": k.Heads.Messages, "read_ahead": k.Heads.ReadAhead,
 	} {
 		gauge := func(figure string, value func(headbudget.Status) int64) {
 			metrics.NewRegisteredFunctionalGauge("heads."+name+"."+figure, k.Metrics, func() int64 { return value(budget.Status()) })
--- a/plugin/peer/client.go
+++ b/plugin/peer/client.go
@@ -34,6 +34,7 @@
 		return nil, errs.Wrap(err, errs.Internal, "report this fault", "attempt cannot be encoded")
 	}
 	r := newAnswerReader(ctx, st, s)
+	r.largeHead = len(buf) > largeHeadBytes
 	if err := writeRequest(st.mux, buf, a.Body); err != nil {
 		r.Close()
 		return lostAnswer(ctx, err), nil
@@ -75,6 +76,7 @@
 	hash       *xxhash.Digest
 	bodyBytes  uint64
 	unread     []byte
+	largeHead  bool  // the stream has carried a large head
 	endErr     error // set once no more frames are read; io.EOF after a verified end
 	closed     bool
 	trailer    *kernel.Trailer
@@ -117,6 +119,7 @@
 		if a.Header, err = r.stream.headers.decode(h.GetHeaders()); err != nil {
 			return nil, err
 		}
+		r.largeHead = r.largeHead || r.stream.headers.textBytes > largeHeadBytes
 		a.Body = r
 		return a, nil
 	}
@@ -172,14 +175,14 @@
 }
 
 // Close implements io.Closer. A stream whose answer was read completely is kept for
-// another attempt. Any other stream is closed, which cancels the attempt at the
+// another attempt, unless a head on it was large. Any other stream is closed, which cancels the attempt at the
 // target if it still runs.
 func (r *answerReader) Close() error {
 	if r.closed {
 		return nil
 	}
 	r.closed = true
-	reuse := r.stopCancel() && r.endErr == io.EOF && r.br.Buffered() == 0
+	reuse := r.stopCancel() && !r.largeHead && r.endErr == io.EOF && r.br.Buffered() == 0
 	r.session.release(r.stream, reuse)
 	return nil
 }
--- a/plugin/peer/compact.go
+++ b/plugin/peer/compact.go
@@ -56,9 +56,10 @@
 
 // headerDecoder restores the headers that a headerEncoder sent.
 type headerDecoder struct {
-	names   []string
-	lines   [][2]string
-	perName map[string]int
+	names     []string
+	lines     [][2]string
+	textBytes int // of names and lines
+	perName   map[string]int
 }
 
 func newHeaderDecoder() *headerDecoder { return &headerDecoder{perName: map[string]int{}} }
@@ -91,9 +92,11 @@
 	if d.perName[name] < maxValuesPerHeader && len(d.lines) < maxHeaderLines {
 		d.perName[name]++
 		d.lines = append(d.lines, [2]string{name, value})
+		d.textBytes += len(name) + len(value)
 	}
 	if line.GetNameAt() == 0 && len(d.names) < maxHeaderNames {
 		d.names = append(d.names, name)
+		d.textBytes += len(name)
 	}
 	return name, value, nil
 }
@@ -129,7 +132,8 @@
 		out.ContextAt = position
 		return out
 	}
-	if len(e) < maxContexts && err == nil {
+	// The stream of a large head is not used again.
+	if len(e) < maxContexts && err == nil && len(key) <= largeHeadBytes {
 		e[string(key)] = uint32(len(e) + 1)
 	}
 	out.Context = callContext
--- a/plugin/peer/frame.go
+++ b/plugin/peer/frame.go
@@ -35,7 +35,11 @@
 func readReply(r *bufio.Reader, m proto.Message) error { return unmarshalFrom(r, m, replyOptions) }
 
 func unmarshalFrom(r *bufio.Reader, m proto.Message, opts protodelim.UnmarshalOptions) error {
-	err := opts.UnmarshalFrom(r, m)
+	return classify(opts.UnmarshalFrom(r, m))
+}
+
+// classify converts an error of reading a message to what readMessage returns.
+func classify(err error) error {
 	switch {
 	case err == nil:
 		return nil
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -17,6 +17,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/bufpool"
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
@@ -114,7 +115,8 @@
 // closes the stream, after an error, and after a message other than a call.
 func (p *peer) serveStream(st *yamux.Stream) {
 	defer st.Close()
-	in := &inboundStream{Stream: st, br: bufio.NewReader(st), headers: newHeaderEncoder()}
+	in := &inboundStream{Stream: st, br: bufio.NewReader(st), headers: newHeaderEncoder(), room: p.k.Heads.Nodes.Account()}
+	defer func() { in.room.Release(in.headBytes) }()
 	for p.serveNext(in) {
 	}
 }
@@ -125,6 +127,9 @@
 	br       *bufio.Reader
 	contexts contextDecoder // of requests
 	headers  *headerEncoder // of answers
+
+	room      *headbudget.Account
+	headBytes int64 // held of room until the stream ends, because contexts keeps the heads
 }
 
 // serveNext serves one message and reports whether another one may follow on the
@@ -134,8 +139,8 @@
 		return false
 	}
 	st.SetReadDeadline(time.Now().Add(requestReadTimeout))
-	var head wire.StreamHead
-	if err := readMessage(st.br, &head); err != nil {
+	head, err := p.readStreamHead(st)
+	if err != nil {
 		return p.reject(st, err)
 	}
 	switch kind := head.GetKind().(type) {
--- a/plugin/peer/upload_test.go
+++ b/plugin/peer/upload_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/dogwoodhatch/dogwoodhatch/bodybudget"
 	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/settings"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
@@ -50,6 +51,11 @@
 // startPeers starts a target node with the given budget and returns its address and the
 // pool of a source node.
 func startPeers(t *testing.T, target *bodyTarget, bodies *bodybudget.Budget) (string, *pool) {
+	return startPeersWithHeads(t, target, bodies, headbudget.NewHeads(headbudget.DefaultMemory))
+}
+
+// startPeersWithHeads is startPeers with budgets for heads.
+func startPeersWithHeads(t *testing.T, target *bodyTarget, bodies *bodybudget.Budget, heads *headbudget.Heads) (string, *pool) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -62,7 +68,7 @@
 	newNode := func() *peer {
 		s := &settings.Settings{}
 		s.Listen.Peer = addr
-		return newPeer(cfg, &kernel.Kernel{Settings: s, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Replica: noReplica{}, Target: target, Bodies: bodies})
+		return newPeer(cfg, &kernel.Kernel{Settings: s, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Replica: noReplica{}, Target: target, Bodies: bodies, Heads: heads})
 	}
 	node, source := newNode(), newNode()
 	if err := node.Start(context.Background()); err != nil {
