Leave descriptors to the store, other nodes and the backend server

While clients held connections open, with a part of a head or with none, a node had no descriptor left: it could not accept, and not reach its backend server, the store or other nodes.

Cause: nothing limited the connections of callers.

--- a/edge/conn.go
+++ b/edge/conn.go
@@ -46,14 +46,15 @@
 	readingRoom                int64     // that the buffer of br holds of reading; 0 for one of connBufferBytes
 
 	mu         sync.Mutex
-	unanswered int  // requests that have been read but not answered
-	receiving  bool // the next request has begun to arrive
-	lastRead   bool // the latest request asks for the end of the connection
-	ending     bool // no further requests are read
+	unanswered int       // requests that have been read but not answered
+	receiving  bool      // the next request has begun to arrive
+	lastRead   bool      // the latest request asks for the end of the connection
+	ending     bool      // no further requests are read
+	since      time.Time // when unanswered or receiving last changed
 }
 
 func newServerConn(s *Server, nc net.Conn) *serverConn {
-	c := &serverConn{server: s, netConn: nc, pipelineSlots: make(chan struct{}, s.opts.MaxPipelined), lastWritten: make(chan struct{})}
+	c := &serverConn{server: s, netConn: nc, since: time.Now(), pipelineSlots: make(chan struct{}, s.opts.MaxPipelined), lastWritten: make(chan struct{})}
 	heads := s.opts.Heads
 	c.reading, c.parsed, c.readAhead = heads.Reading.Account(), heads.Callers.Account(), heads.ReadAhead.Account()
 	c.limitReader = &io.LimitedReader{R: nc}
@@ -113,7 +114,7 @@
 // connection is idle too long, fails or is ending.
 func (c *serverConn) waitForRequest() bool {
 	c.shrinkBuffer()
-	c.limitReader.N = c.server.opts.MaxHeaderBytes
+	c.limitReader.N = c.server.opts.MaxHeaderBytes()
 	c.netConn.SetReadDeadline(time.Now().Add(c.server.opts.IdleTimeout()))
 	for {
 		_, err := c.br.Peek(1)
@@ -131,6 +132,7 @@
 	defer c.mu.Unlock()
 	c.ending = c.ending || c.lastRead // what arrives behind the last request is not read
 	c.receiving = !c.ending
+	c.since = time.Now()
 	return c.receiving
 }
 
@@ -164,7 +166,7 @@
 	}
 	c.netConn.SetReadDeadline(time.Now().Add(c.server.opts.BodyTimeout))
 	limit := c.server.opts.MaxBodyBytes()
-	c.limitReader.N = limit + connBufferBytes + c.server.opts.MaxHeaderBytes
+	c.limitReader.N = limit + connBufferBytes + c.server.opts.MaxHeaderBytes()
 	if req.ContentLength > limit {
 		return nil, http.StatusRequestEntityTooLarge
 	}
@@ -318,6 +320,7 @@
 	<-w.previousWritten
 	c.mu.Lock()
 	c.unanswered--
+	c.since = time.Now()
 	c.mu.Unlock()
 	switch {
 	case !complete:
@@ -376,6 +379,39 @@
 	}
 }
 
+// waitState tells what a connection without a request in flight waits for.
+type waitState struct {
+	receiving bool // the rest of a head, and not a request
+	since     time.Time
+}
+
+// isWorse reports whether a connection is closed rather than another one.
+func (w waitState) isWorse(other waitState) bool {
+	if w.receiving != other.receiving {
+		return w.receiving
+	}
+	return w.since.Before(other.since)
+}
+
+// waitState reports false if a request is in flight or the connection is ending.
+func (c *serverConn) waitState() (waitState, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return waitState{c.receiving, c.since}, c.unanswered == 0 && !c.ending
+}
+
+// closeIfWaiting closes the connection if no request is in flight, and reports whether it did.
+func (c *serverConn) closeIfWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unanswered > 0 || c.ending {
+		return false
+	}
+	c.ending = true
+	c.netConn.Close()
+	return true
+}
+
 // reject answers an unreadable request with an error status and ends the connection.
 func (c *serverConn) reject(status int) {
 	c.discardBuffer()
--- a/edge/head.go
+++ b/edge/head.go
@@ -80,10 +80,7 @@
 
 // growBuffer doubles the buffer of the connection.
 func (c *serverConn) growBuffer() error {
-	size := int64(2 * c.br.Size())
-	if size > c.server.opts.MaxHeaderBytes+connBufferBytes {
-		size = c.server.opts.MaxHeaderBytes + connBufferBytes
-	}
+	size := min(int64(2*c.br.Size()), c.server.opts.MaxHeaderBytes()+connBufferBytes)
 	if size <= int64(c.br.Size()) {
 		return errHeadTooLarge
 	}
--- a/edge/head_test.go
+++ b/edge/head_test.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -131,3 +134,86 @@
 		}
 	}
 }
+
+// TestNewConnectionTakesThePlaceOfAWaitingOne opens more connections than a server may have. Those on
+// which a head has stalled must give way first, then idle ones, and never those with a request in
+// flight.
+func TestNewConnectionTakesThePlaceOfAWaitingOne(t *testing.T) {
+	opts := DefaultServerOptions()
+	opts.MaxConns = 4
+	running, release := make(chan struct{}), make(chan struct{})
+	s, addr := startServer(t, opts, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			running <- struct{}{}
+			<-release
+		}
+	})
+	const get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	isOpen := func(br *bufio.Reader, conn net.Conn) bool {
+		conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		_, err := br.Peek(1)
+		var timeout net.Error
+		return errors.As(err, &timeout) && timeout.Timeout()
+	}
+	idle, idleReader := dial(t, addr)
+	io.WriteString(idle, get)
+	readAnswer(t, idleReader)
+	var busy []*bufio.Reader
+	for range 2 {
+		conn, br := dial(t, addr)
+		io.WriteString(conn, strings.Replace(get, "/ ", "/slow ", 1))
+		<-running
+		busy = append(busy, br)
+	}
+	stalled, stalledReader := dial(t, addr)
+	io.WriteString(stalled, "GET")
+	waitForReceiving(t, s)
+
+	for _, victim := range []struct {
+		name string
+		conn net.Conn
+		br   *bufio.Reader
+	}{{"stalled", stalled, stalledReader}, {"idle", idle, idleReader}} {
+		if !isOpen(victim.br, victim.conn) {
+			t.Fatalf("the %s connection has ended too early", victim.name)
+		}
+		conn, br := dial(t, addr)
+		io.WriteString(conn, strings.Replace(get, "/ ", "/slow ", 1))
+		<-running
+		busy = append(busy, br)
+		if isOpen(victim.br, victim.conn) {
+			t.Errorf("the %s connection did not give way", victim.name)
+		}
+	}
+	conn, br := dial(t, addr)
+	io.WriteString(conn, get)
+	if _, err := http.ReadResponse(br, nil); err == nil {
+		t.Error("a connection beyond the limit is served although all others are busy")
+	}
+	close(release)
+	for _, br := range busy {
+		if resp, _ := readAnswer(t, br); resp.StatusCode != http.StatusOK {
+			t.Errorf("a request in flight got %d", resp.StatusCode)
+		}
+	}
+}
+
+// waitForReceiving waits until a head is arriving on a connection.
+func waitForReceiving(t *testing.T, s *Server) {
+	t.Helper()
+	receiving := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for c := range s.conns {
+			if state, _ := c.waitState(); state.receiving {
+				return true
+			}
+		}
+		return false
+	}
+	for end := time.Now().Add(testTimeout); !receiving(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no head is arriving")
+		}
+	}
+}
--- a/edge/server.go
+++ b/edge/server.go
@@ -36,13 +36,16 @@
 	// IdleTimeout returns how long a connection may be idle before it is closed. It must
 	// exceed the idle time after which callers still reuse a connection.
 	IdleTimeout func() time.Duration
-	// MaxHeaderBytes limits the size of the head of a request.
-	MaxHeaderBytes int64
+	// MaxHeaderBytes returns the size limit of the head of the next request.
+	MaxHeaderBytes func() int64
 	// MaxBodyBytes returns the size limit of the body of the next request.
 	MaxBodyBytes func() int64
 	// MaxPipelined limits the requests of one connection that are served
 	// concurrently.
 	MaxPipelined int
+	// MaxConns limits the connections; 0 for no limit. Beyond it, a new connection takes the
+	// place of one on which no request is in flight.
+	MaxConns int
 	// Closing reports whether callers should use another node. Answers then end
 	// their connection. It must not be nil.
 	Closing func() bool
@@ -58,7 +61,7 @@
 		Heads:            headbudget.NewHeads(headbudget.DefaultMemory),
 		RefuseHead:       refuseHead,
 		IdleTimeout:      func() time.Duration { return 2 * time.Minute },
-		MaxHeaderBytes:   64 << 10,
+		MaxHeaderBytes:   func() int64 { return 64 << 10 },
 		MaxBodyBytes:     func() int64 { return 64 << 20 },
 		MaxPipelined:     32,
 		Closing:          func() bool { return false },
@@ -126,10 +129,47 @@
 		s.log.Warn("caller_connection_unguarded", zap.Stringer("remote", nc.RemoteAddr()), zap.Error(err))
 	}
 	c := newServerConn(s, nc)
+	if !s.addConn(c) {
+		nc.Close()
+		return
+	}
+	go c.serve()
+}
+
+// addConn adds a connection, and reports false if there is no place for it.
+func (s *Server) addConn(c *serverConn) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.opts.MaxConns > 0 && len(s.conns) >= s.opts.MaxConns && !s.evict() {
+		return false
+	}
 	s.conns[c] = struct{}{}
-	s.mu.Unlock()
-	go c.serve()
+	return true
+}
+
+// evictSample is the number of connections among which evict chooses.
+const evictSample = 16
+
+// evict closes one of a few connections on which no request is in flight, and reports whether there
+// was any. It prefers those on which a head is arriving, since a caller that behaves sends it at
+// once, and of those the one that has taken longest. The caller must hold mu.
+func (s *Server) evict() bool {
+	var victim *serverConn
+	var worst waitState
+	n := 0
+	for c := range s.conns {
+		if state, waits := c.waitState(); waits && (victim == nil || state.isWorse(worst)) {
+			victim, worst = c, state
+		}
+		if n++; n >= evictSample && victim != nil {
+			break
+		}
+	}
+	if victim == nil || !victim.closeIfWaiting() {
+		return false
+	}
+	delete(s.conns, victim)
+	return true
 }
 
 func (s *Server) removeConn(c *serverConn) {
--- a/edge/server_test.go
+++ b/edge/server_test.go
@@ -220,7 +220,7 @@
 
 func TestBadRequests(t *testing.T) {
 	opts := DefaultServerOptions()
-	opts.MaxHeaderBytes = 1 << 10
+	opts.MaxHeaderBytes = func() int64 { return 1 << 10 }
 	opts.MaxBodyBytes = func() int64 { return 10 }
 	_, addr := startServer(t, opts, func(w http.ResponseWriter, r *http.Request) {
 		if _, err := Body(r.Context(), r); err == nil || !WriteBodyError(w, err) {
--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -66,6 +66,7 @@
 	opts.MaxBodyBytes = func() int64 { return int64(max(e.k.Settings.Limits.MaxRequestBytes, maxAnnounceBytes)) }
 	opts.Bodies = e.k.Bodies
 	opts.Heads = e.k.Heads
+	opts.MaxConns = e.k.CallerConns()
 	opts.RefuseHead = func(w http.ResponseWriter) { writeRefusal(w, call.ReasonHeadRoom, 0) }
 	srv := edge.NewServer(h, opts, e.log)
 	e.servers = append(e.servers, srv)
--- a/route/route.go
+++ b/route/route.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/profile"
@@ -85,9 +86,11 @@
 	ruleCount int
 }
 
-// Limits are the size limits for requests of callers; 0 means no limit.
+// Limits are the limits for requests of callers; 0 means no limit.
 type Limits struct {
 	MaxHeaderBytes int
+	HeaderTimeout  time.Duration // in which the head of a request must arrive; 0 if not set
+	IdleTimeout    time.Duration // after which an idle connection is closed; 0 if not set
 	MaxBodyBytes   int64
 }
 
--- a/settings/field.go
+++ b/settings/field.go
@@ -87,6 +87,7 @@
 		{section: "limits", key: "max_request_bytes", defaultValue: "1048576", set: intValue(&s.Limits.MaxRequestBytes, 0, 1<<30)},
 		{section: "limits", key: "body_memory_bytes", defaultValue: "0", set: intValue(&s.Limits.BodyMemoryBytes, 0, 1<<40)},
 		{section: "limits", key: "head_memory_bytes", defaultValue: "0", set: intValue(&s.Limits.HeadMemoryBytes, 0, 1<<40)},
+		{section: "limits", key: "descriptors", defaultValue: "0", emptyIsDefault: true, set: intValue(&s.Limits.Descriptors, 0, 1<<30)},
 		{section: "limits", key: "buffer_bytes", defaultValue: "262144", set: intValue(&s.Limits.BufferBytes, 0, 1<<30)},
 		{section: "log", key: "path", set: stringValue(&s.Log.Path)},
 		{section: "log", key: "level", defaultValue: "info", set: enumValue(&s.Log.Level, "debug", "info", "warn", "error")},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -103,6 +103,7 @@
 	MaxRequestBytes int // larger request bodies are refused
 	BodyMemoryBytes int // of all request bodies at a time; 0 for an eighth of the memory limit of the process
 	HeadMemoryBytes int // of the heads of all requests at a time; 0 for headbudget.DefaultMemory
+	Descriptors     int // that the node may open; 0 for the limit of the process
 	BufferBytes     int // an answer up to this size is buffered until it is complete
 }
 
--- a/sysmem/sysmem.go
+++ b/sysmem/sysmem.go
@@ -1,4 +1,4 @@
-// Package sysmem reads how much memory the process may use.
+// Package sysmem reads how much memory the process may use, and how many descriptors.
 package sysmem
 
 import (
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 )
 
 // maxPlausibleLimit is the limit, in bytes, from which a control group counts as unlimited.
@@ -63,3 +64,13 @@
 	}
 	return 0
 }
+
+// Descriptors returns the number of descriptors that the process may have open (RLIMIT_NOFILE), or
+// math.MaxInt if it has no limit.
+func Descriptors() (int, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, err
+	}
+	return int(min(limit.Cur, math.MaxInt)), nil
+}
