Serve all listeners with the same bounds on connections and heads

Clients that reached the listeners for the platform's checks, the backend server, operators or other nodes could end a process or take all its descriptors.

Cause: these listeners used net/http's server, which reads heads of 1 MB, keeps idle connections for ever and has no limit on connections or on what heads take together. The listener for nodes waited for ever for a connection to carry something.

Change: edge.NewControlServer serves the checks, the backend server and operators, with the budgets for heads of the node, 64 KB for one head, one request of a connection at a time, and a 32nd of the descriptors for each listener. At the listener for nodes a connection must carry a stream within 10 s, and a 16th of the descriptors are for those that have not. The answers of the checks and acknowledgements state their length as before.

--- a/adminapi/adminapi.go
+++ b/adminapi/adminapi.go
@@ -113,8 +113,8 @@
 // answer and for reading the record back.
 const DefaultChangeTimeout = 15 * time.Second
 
-// maxBodyBytes bounds the body of a request; the largest body is the text of all teams.
-const maxBodyBytes = team.MaxTextBytes + 1
+// MaxBodyBytes bounds the body of a request; the largest body is the text of all teams.
+const MaxBodyBytes = team.MaxTextBytes + 1
 
 type api struct {
 	Deps
--- a/adminapi/credential.go
+++ b/adminapi/credential.go
@@ -45,7 +45,7 @@
 			writeProblem(w, Problem{Status: http.StatusUnauthorized, Title: "no valid credential", Remedy: "send Authorization: Bearer TOKEN"})
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		r.Body = http.MaxBytesReader(w, r.Body, MaxBodyBytes)
 		if err := h(w, r, author); err != nil {
 			writeProblem(w, problemOf(err))
 		}
--- a/edge/server.go
+++ b/edge/server.go
@@ -44,7 +44,7 @@
 	// concurrently.
 	MaxPipelined int
 	// MaxConns limits the connections; 0 for no limit. Beyond it, a new connection takes the
-	// place of one on which no request is in flight.
+	// place of one on which no request is in flight, which may exist for a moment longer.
 	MaxConns int
 	// Closing reports whether callers should use another node. Answers then end
 	// their connection. It must not be nil.
@@ -140,13 +140,19 @@
 func (s *Server) addConn(c *serverConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.opts.MaxConns > 0 && len(s.conns) >= s.opts.MaxConns && !s.evict() {
-		return false
+	if limit := s.opts.MaxConns; limit > 0 && len(s.conns) >= limit {
+		if len(s.conns) >= limit+max(limit/evictedFraction, 1) || !s.evict() {
+			return false
+		}
 	}
 	s.conns[c] = struct{}{}
 	return true
 }
 
+// evictedFraction is the part of MaxConns, as its divisor, by which connections that have been
+// closed, but have not ended, may exceed it.
+const evictedFraction = 8
+
 // evictSample is the number of connections among which evict chooses.
 const evictSample = 16
 
@@ -165,11 +171,7 @@
 			break
 		}
 	}
-	if victim == nil || !victim.closeIfWaiting() {
-		return false
-	}
-	delete(s.conns, victim)
-	return true
+	return victim != nil && victim.closeIfWaiting()
 }
 
 func (s *Server) removeConn(c *serverConn) {
--- a/plugin/admin/admin.go
+++ b/plugin/admin/admin.go
@@ -12,17 +12,16 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/adminapi"
+	"github.com/dogwoodhatch/dogwoodhatch/edge"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/publish"
 )
 
-const readHeaderTimeout = 5 * time.Second
-
 // admin serves the administration address. It implements kernel.Plugin.
 type admin struct {
 	k      *kernel.Kernel
-	server *http.Server
+	server *edge.Server
 }
 
 func newAdmin(k *kernel.Kernel) *admin {
@@ -33,10 +32,7 @@
 	reg.MustRegister(collector{k.Metrics})
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /{$}", a.serveStatus)
-	a.server = &http.Server{
-		Handler: mux, ReadHeaderTimeout: readHeaderTimeout,
-		ErrorLog: zap.NewStdLog(k.Log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
+	a.server = edge.NewControlServer(k, mux, adminapi.MaxBodyBytes)
 	return a
 }
 
@@ -66,7 +62,11 @@
 	if err != nil {
 		return errs.Wrap(err, errs.Unavailable, "free the port or change admin in section listen", "cannot listen for operators on %s", a.k.Settings.Listen.Admin)
 	}
-	go a.server.Serve(ln)
+	go func() {
+		if err := a.server.Serve(ln); err != http.ErrServerClosed {
+			a.k.Log.Error("listener_failed", zap.Stringer("addr", ln.Addr()), zap.Error(err))
+		}
+	}()
 	return nil
 }
 
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,13 +37,16 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu       sync.Mutex
-	sessions map[*yamux.Session]struct{}
+	maxStrangers int
+
+	mu        sync.Mutex
+	sessions  map[*yamux.Session]struct{}
+	strangers []*stranger // oldest first
 }
 
 func newPeer(cfg Config, k *kernel.Kernel) *peer {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &peer{cfg: cfg, k: k, pool: newPool(cfg, k), ctx: ctx, cancel: cancel, sessions: map[*yamux.Session]struct{}{}}
+	return &peer{cfg: cfg, k: k, pool: newPool(cfg, k), ctx: ctx, cancel: cancel, maxStrangers: k.StrangerConns(), sessions: map[*yamux.Session]struct{}{}}
 }
 
 // Start implements kernel.Plugin.
@@ -88,6 +92,11 @@
 	if err := sockopt.Configure(nc, p.cfg.UnackedTimeout); err != nil {
 		p.k.Log.Warn("peer_connection_unguarded", zap.Stringer("remote", nc.RemoteAddr()), zap.Error(err))
 	}
+	if !p.addStranger(nc) {
+		nc.Close()
+		return
+	}
+	defer p.removeStranger(nc)
 	mux, err := yamux.Server(&conn{Conn: nc}, p.cfg.yamuxConfig(p.k.Log))
 	if err != nil {
 		nc.Close()
@@ -102,15 +111,57 @@
 		p.mu.Unlock()
 		mux.Close()
 	}()
-	for {
+	for first := true; ; first = false {
 		st, err := mux.AcceptStream()
 		if err != nil {
 			return
 		}
+		if first {
+			p.removeStranger(nc)
+		}
 		go p.serveStream(st)
 	}
 }
 
+// strangerTimeout is how long a connection may carry no stream. A node dials for a call.
+const strangerTimeout = 10 * time.Second
+
+// stranger is a connection on which no stream was opened yet.
+type stranger struct {
+	net.Conn
+	closed bool // to make room; it is listed until it has ended
+}
+
+// addStranger bounds the time of a new connection until its first stream, and closes the oldest
+// of such connections if there are more than maxStrangers. It reports false if there are twice as
+// many.
+func (p *peer) addStranger(nc net.Conn) bool {
+	nc.SetReadDeadline(time.Now().Add(strangerTimeout))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.strangers) >= 2*p.maxStrangers {
+		return false
+	}
+	p.strangers = append(p.strangers, &stranger{Conn: nc})
+	if len(p.strangers) > p.maxStrangers {
+		if i := slices.IndexFunc(p.strangers, func(s *stranger) bool { return !s.closed }); i >= 0 {
+			p.strangers[i].closed = true
+			p.strangers[i].Close()
+		}
+	}
+	return true
+}
+
+// removeStranger lifts the bounds on a connection that has carried a stream or has ended.
+func (p *peer) removeStranger(nc net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if i := slices.IndexFunc(p.strangers, func(s *stranger) bool { return s.Conn == nc }); i >= 0 {
+		p.strangers = slices.Delete(p.strangers, i, i+1)
+		nc.SetReadDeadline(time.Time{})
+	}
+}
+
 // serveStream serves the messages of one stream in order. It returns when the source
 // closes the stream, after an error, and after a message other than a call.
 func (p *peer) serveStream(st *yamux.Stream) {
