Bound the memory of the heads of answers

A backend server whose answers have thousands of short header lines, to callers that read slowly, ended both nodes on the way.

Cause: as with requests, a head of 60 KB takes megabytes once it is parsed, at the node beside the backend server and again at that of the caller, until the caller has read the answer. Only the size of one head was limited.

Change: a head above 4 KB waits for room, until the deadline of its request, before it is parsed: at the node beside the backend server and at that of the caller, with a budget each, so that none waits for room that the other one holds. To count the lines the node reads a head to its end first. What is no response is still found with the first byte or line that shows it (httphead.ResponseLines).

--- a/edge/head.go
+++ b/edge/head.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
+	"github.com/dogwoodhatch/dogwoodhatch/httphead"
 )
 
 var (
@@ -17,38 +18,6 @@
 	errCallerLeft   = errors.New("the caller has closed the connection")
 )
 
-// headScanner finds the end of a head that arrives in parts.
-type headScanner struct {
-	bytes, lines int  // seen so far, up to the end of the head
-	lineBytes    int  // seen of the current line
-	lastCR       bool // the last byte was a carriage return
-}
-
-// scan processes the next part and reports whether the head ends in it: with the first empty
-// line, which may be the first line at all.
-func (s *headScanner) scan(part []byte) bool {
-	for len(part) > 0 {
-		n := bytes.IndexByte(part, '\n')
-		if n < 0 {
-			s.bytes += len(part)
-			s.lineBytes += len(part)
-			s.lastCR = part[len(part)-1] == '\r'
-			return false
-		}
-		if n > 0 {
-			s.lastCR = part[n-1] == '\r'
-		}
-		s.bytes += n + 1
-		s.lines++
-		if length := s.lineBytes + n; length == 0 || length == 1 && s.lastCR {
-			return true
-		}
-		s.lineBytes, s.lastCR = 0, false
-		part = part[n+1:]
-	}
-	return false
-}
-
 // headRoom is what the head of a request takes of the budgets until the request is answered.
 type headRoom struct {
 	parsed    int64 // of Heads.Callers
@@ -57,11 +26,11 @@
 
 // bufferHead reads until the whole head of a request is in c.br, and returns its size. A head that
 // exceeds connBufferBytes takes room before its buffer grows.
-func (c *serverConn) bufferHead() (headScanner, error) {
-	var s headScanner
+func (c *serverConn) bufferHead() (httphead.Scanner, error) {
+	var s httphead.Scanner
 	for {
 		buffered, _ := c.br.Peek(c.br.Buffered()) // what is buffered can be peeked
-		if s.scan(buffered[s.bytes:]) {
+		if s.Scan(buffered[s.Bytes:]) {
 			return s, nil
 		}
 		if len(buffered) == c.br.Size() {
@@ -125,7 +94,7 @@
 
 // takeHeadRoom waits for the room that a request takes in flight. A request behind unanswered ones
 // waits for as long as there are any, since the caller waits for those in any case.
-func (c *serverConn) takeHeadRoom(s headScanner) (headRoom, error) {
+func (c *serverConn) takeHeadRoom(s httphead.Scanner) (headRoom, error) {
 	var room headRoom
 	if c.inFlight() > 0 {
 		granted, err := c.claimReadAhead()
@@ -134,7 +103,7 @@
 		}
 		room.readAhead = granted
 	}
-	parsed := headbudget.Cost(s.bytes, s.lines)
+	parsed := headbudget.Cost(s.Bytes, s.Lines)
 	if err := c.claim(c.parsed, parsed, c.server.opts.RoomTimeout); err != nil {
 		c.returnHeadRoom(room)
 		return room, err
--- /dev/null
+++ b/httphead/lines.go
@@ -0,0 +1,63 @@
+package httphead
+
+import (
+	"bytes"
+
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
+)
+
+// protocol begins each response.
+const protocol = "HTTP/1."
+
+// ResponseLines checks the lines of the head of a response as they arrive, so that what is no
+// response is found at once and not only with the end of its head.
+type ResponseLines struct {
+	checked int  // bytes of complete lines
+	ended   bool // the head has ended
+}
+
+// Check checks the lines of a head that have become complete since the last call. head is what has
+// arrived of it, and possibly what follows. Errors are of kind errs.Unavailable.
+func (l *ResponseLines) Check(head []byte) error {
+	if n := min(len(head), len(protocol)); string(head[:n]) != protocol[:n] {
+		return errMalformed("the status line", head)
+	}
+	for !l.ended {
+		end := bytes.IndexByte(head[l.checked:], '\n')
+		if end < 0 {
+			return nil
+		}
+		line := bytes.TrimSuffix(head[l.checked:l.checked+end], []byte{'\r'})
+		first := l.checked == 0
+		l.checked += end + 1
+		switch {
+		case len(line) == 0:
+			l.ended = true
+			continue
+		case first:
+			continue
+		}
+		if err := checkFieldLine(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkFieldLine checks a header line or the continuation of one.
+func checkFieldLine(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return nil
+	}
+	if bytes.IndexByte(line, ':') <= 0 {
+		return errMalformed("a header line", line)
+	}
+	return nil
+}
+
+// maxQuotedBytes bounds what an error quotes of a line.
+const maxQuotedBytes = 64
+
+func errMalformed(what string, line []byte) error {
+	return errs.New(errs.Unavailable, "check the backend server", "%s is malformed: %q", what, line[:min(len(line), maxQuotedBytes)])
+}
--- a/kernel/heads.go
+++ b/kernel/heads.go
@@ -17,7 +17,8 @@
 
 func (k *Kernel) registerHeadGauges() {
 	for name, budget := range map[string]*headbudget.Budget{
-		"reading": k.Heads.Reading, "callers": k.Heads.Callers, "nodes": k.Heads.Nodes, "messages": k.Heads.Messages, "read_ahead": k.Heads.ReadAhead,
+		"reading": k.Heads.Reading, "messages": k.Heads.Messages, "callers": k.Heads.Callers, "nodes": k.Heads.Nodes,
+		"backend_answers": k.Heads.BackendAnswers, "node_answers": k.Heads.NodeAnswers, "read_ahead": k.Heads.ReadAhead,
 	} {
 		gauge := func(figure string, value func(headbudget.Status) int64) {
 			metrics.NewRegisteredFunctionalGauge("heads."+name+"."+figure, k.Metrics, func() int64 { return value(budget.Status()) })
--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -14,6 +14,7 @@
 
 	"github.com/dogwoodhatch/dogwoodhatch/bufpool"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
 )
@@ -41,10 +42,11 @@
 	dialect kernel.BackendDialect
 	log     *zap.Logger
 	pool    *pool
+	heads   *headbudget.Budget // parsed heads of answers
 }
 
-func newBackend(d kernel.BackendDialect, log *zap.Logger) *backend {
-	return &backend{dialect: d, log: log, pool: newPool()}
+func newBackend(d kernel.BackendDialect, log *zap.Logger, heads *headbudget.Budget) *backend {
+	return &backend{dialect: d, log: log, pool: newPool(), heads: heads}
 }
 
 // Do implements kernel.Backend. A request counts as sent once its first byte is
@@ -54,7 +56,7 @@
 	if err != nil {
 		return nil, false, errs.Wrap(err, errs.Unavailable, "check the backend server", "no connection to backend server %s", addr)
 	}
-	x := &exchange{backend: b, conn: c, req: req}
+	x := &exchange{backend: b, conn: c, req: req, ctx: ctx, room: b.heads.Room()}
 	x.stopCancel = context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) }) // a deadline in the past ends pending I/O
 	sent, err := x.send()
 	if err != nil {
@@ -82,6 +84,8 @@
 // exchange is one request on one connection.
 type exchange struct {
 	backend    *backend
+	ctx        context.Context // of the request
+	room       headbudget.Room // of the head of the response
 	conn       *conn
 	req        *kernel.BackendRequest
 	stopCancel func() bool // detaches the connection from the context; false if the context ended first
@@ -172,6 +176,9 @@
 	x.conn.limitRead(maxHeadBytes)
 	defer x.conn.unlimitRead()
 	for {
+		if err := x.bufferHead(); err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.req.Method})
 		if err != nil || resp.StatusCode >= http.StatusOK {
 			return resp, err
@@ -180,7 +187,7 @@
 }
 
 func (x *exchange) response(resp *http.Response, report kernel.BackendReport) *kernel.BackendResponse {
-	body := &responseBody{x: x, rc: resp.Body, reusable: !resp.Close && !x.skippedAny && hasExplicitEnd(resp)}
+	body := &responseBody{x: x, rc: resp.Body, reusable: !resp.Close && !x.skippedAny && hasExplicitEnd(resp) && x.conn.br.Size() == readBufferBytes}
 	x.conn.maxIdle = keepAliveTime(resp.Header)
 	x.conn.named = report.NamesRequest
 	x.conn.refused = x.conn.refused || report.NotRun || report.OtherInstance
@@ -197,6 +204,7 @@
 // If a reused connection turns out to be closed, the backend server most likely
 // closed it while it was idle, and the pool learns from its idle time.
 func (x *exchange) abandon(ctx context.Context, err error) {
+	x.room.Free()
 	x.stopCancel()
 	x.conn.Close()
 	if x.conn.idleTime > 0 && ctx.Err() == nil && closedByPeer(err) {
@@ -236,6 +244,7 @@
 		return nil
 	}
 	b.closed = true
+	b.x.room.Free()
 	active := b.x.stopCancel()
 	if active && b.complete && b.reusable && b.x.requestWritten() && b.x.conn.br.Buffered() == 0 && b.x.restoreTimeout() {
 		b.x.backend.pool.put(b.x.conn)
--- a/plugin/backend/backend_test.go
+++ b/plugin/backend/backend_test.go
@@ -60,7 +60,7 @@
 		t.Run(method, func(t *testing.T) {
 			var requests atomic.Int64
 			addr := startServer(t, func(conn *net.TCPConn) { answerFirstOnly(conn, &requests) })
-			b := newBackend(builtinDialect{"X-Shed"}, zap.NewNop())
+			b := newBackend(builtinDialect{"X-Shed"}, zap.NewNop(), nil)
 			defer b.pool.close()
 			req := &kernel.BackendRequest{Method: method, Target: "/", Host: "rates", Header: http.Header{"Idempotency-Key": {"k"}}}
 			resp, _, err := b.Do(context.Background(), addr, req)
@@ -89,7 +89,7 @@
 	ln.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	_, sent, err := newBackend(builtinDialect{}, zap.NewNop()).Do(ctx, addr, &kernel.BackendRequest{Method: http.MethodPost, Target: "/", Host: "rates", Header: http.Header{}, Body: []byte("x")})
+	_, sent, err := newBackend(builtinDialect{}, zap.NewNop(), nil).Do(ctx, addr, &kernel.BackendRequest{Method: http.MethodPost, Target: "/", Host: "rates", Header: http.Header{}, Body: []byte("x")})
 	if err == nil || sent {
 		t.Fatalf("sent=%v error=%v", sent, err)
 	}
@@ -125,7 +125,7 @@
 // limit.
 func TestIdleLimitIsLearnedFromResets(t *testing.T) {
 	addr := startServer(t, func(conn *net.TCPConn) { resetWhenIdle(conn, 150*time.Millisecond) })
-	b := newBackend(builtinDialect{}, zap.NewNop())
+	b := newBackend(builtinDialect{}, zap.NewNop(), nil)
 	defer b.pool.close()
 	failed := 0
 	for range 4 {
@@ -158,7 +158,7 @@
 // lost.
 func TestAtMostOnceRequestsAvoidIdleConnections(t *testing.T) {
 	addr := startServer(t, func(conn *net.TCPConn) { resetWhenIdle(conn, 220*time.Millisecond) })
-	b := newBackend(builtinDialect{}, zap.NewNop())
+	b := newBackend(builtinDialect{}, zap.NewNop(), nil)
 	defer b.pool.close()
 	for i := range 3 {
 		if err := sendRequest(b, addr, false); err != nil {
@@ -177,7 +177,7 @@
 		opened.Add(1)
 		resetWhenIdle(conn, time.Minute)
 	})
-	b := newBackend(builtinDialect{}, zap.NewNop())
+	b := newBackend(builtinDialect{}, zap.NewNop(), nil)
 	defer b.pool.close()
 	useThreeConnections := func() {
 		var conns []*conn
--- a/plugin/backend/endless_test.go
+++ b/plugin/backend/endless_test.go
@@ -64,7 +64,7 @@
 		t.Run(name, func(t *testing.T) {
 			var sent, closed atomic.Int64
 			addr := startServer(t, func(conn *net.TCPConn) { endlessResponse(conn, c.first, c.piece, &sent, &closed) })
-			b := newBackend(requestIDDialect{}, zap.NewNop())
+			b := newBackend(requestIDDialect{}, zap.NewNop(), nil)
 			defer b.pool.close()
 			ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
 			defer cancel()
@@ -90,7 +90,7 @@
 		t.Run(name, func(t *testing.T) {
 			var sent, closed atomic.Int64
 			addr := startServer(t, func(conn *net.TCPConn) { endlessResponse(conn, c.first, c.piece, &sent, &closed) })
-			b := newBackend(builtinDialect{}, zap.NewNop())
+			b := newBackend(builtinDialect{}, zap.NewNop(), nil)
 			defer b.pool.close()
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 			defer cancel()
@@ -131,7 +131,7 @@
 					copyOfLast = answer
 				}
 			})
-			b := newBackend(requestIDDialect{}, zap.NewNop())
+			b := newBackend(requestIDDialect{}, zap.NewNop(), nil)
 			defer b.pool.close()
 			for i := range 20 {
 				id := fmt.Sprint("request-", i)
--- a/plugin/backend/head_test.go
+++ b/plugin/backend/head_test.go
@@ -35,7 +35,7 @@
 					io.WriteString(conn, head[:cut])
 				}
 			})
-			b := newBackend(requestIDDialect{}, zap.NewNop())
+			b := newBackend(requestIDDialect{}, zap.NewNop(), nil)
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			resp, sent, err := b.Do(ctx, addr, &kernel.BackendRequest{Method: http.MethodGet, Target: "/", Host: "rates", Header: http.Header{}, RequestID: "a", Idempotent: true})
 			if err == nil {
--- a/plugin/backend/refusal_test.go
+++ b/plugin/backend/refusal_test.go
@@ -78,7 +78,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			var ran atomic.Int64
 			addr := startServer(t, func(conn *net.TCPConn) { repeatRefusal(conn, tc.refusal, tc.copied, &ran) })
-			b := newBackend(tc.dialect, zap.NewNop())
+			b := newBackend(tc.dialect, zap.NewNop(), nil)
 			defer b.pool.close()
 			for i := range 6 {
 				before := ran.Load()
@@ -113,7 +113,7 @@
 			io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Refused: 1\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
-	b := newBackend(refusalDialect{}, zap.NewNop())
+	b := newBackend(refusalDialect{}, zap.NewNop(), nil)
 	defer b.pool.close()
 	for range 10 {
 		if err := sendRequest(b, addr, true); err != nil {
@@ -143,7 +143,7 @@
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
 		}
 	})
-	b := newBackend(requestIDDialect{}, zap.NewNop())
+	b := newBackend(requestIDDialect{}, zap.NewNop(), nil)
 	defer b.pool.close()
 	answered := 0
 	for i := range 10 {
--- a/plugin/backend/setup.go
+++ b/plugin/backend/setup.go
@@ -14,7 +14,7 @@
 	if dialect == nil {
 		dialect = builtinDialect{k.Settings.Backend.ShedHeader}
 	}
-	b := newBackend(dialect, k.Log)
+	b := newBackend(dialect, k.Log, k.Heads.BackendAnswers)
 	k.Backend = b
 	return b, nil
 }
--- a/plugin/backend/upload_test.go
+++ b/plugin/backend/upload_test.go
@@ -37,7 +37,7 @@
 		io.WriteString(conn, "HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\n\r\n")
 		<-release
 	})
-	b := newBackend(builtinDialect{}, zap.NewNop())
+	b := newBackend(builtinDialect{}, zap.NewNop(), nil)
 	defer b.pool.close()
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -68,7 +68,7 @@
 		io.Copy(io.Discard, conn)
 		closed.Store(true)
 	})
-	b := newBackend(builtinDialect{}, zap.NewNop())
+	b := newBackend(builtinDialect{}, zap.NewNop(), nil)
 	defer b.pool.close()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
@@ -93,7 +93,7 @@
 			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
-	b := newBackend(builtinDialect{}, zap.NewNop())
+	b := newBackend(builtinDialect{}, zap.NewNop(), nil)
 	defer b.pool.close()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -120,7 +120,7 @@
 			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}
 	})
-	b := newBackend(builtinDialect{}, zap.NewNop())
+	b := newBackend(builtinDialect{}, zap.NewNop(), nil)
 	defer b.pool.close()
 	req := upload()
 	req.Body = req.Body[:4*maxSyncWriteBytes]
--- a/plugin/peer/client.go
+++ b/plugin/peer/client.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodhatch/dogwoodhatch/bufpool"
 	"github.com/dogwoodhatch/dogwoodhatch/call"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
@@ -33,13 +34,13 @@
 		s.release(st, false)
 		return nil, errs.Wrap(err, errs.Internal, "report this fault", "attempt cannot be encoded")
 	}
-	r := newAnswerReader(ctx, st, s)
+	r := newAnswerReader(ctx, st, s, p.heads.NodeAnswers.Room())
 	r.largeHead = len(buf) > largeHeadBytes
 	if err := writeRequest(st.mux, buf, a.Body); err != nil {
 		r.Close()
 		return lostAnswer(ctx, err), nil
 	}
-	head, err := r.readHead()
+	head, err := r.readHead(ctx)
 	if err != nil {
 		r.Close()
 		return lostAnswer(ctx, err), nil
@@ -79,18 +80,30 @@
 	largeHead  bool  // the stream has carried a large head
 	endErr     error // set once no more frames are read; io.EOF after a verified end
 	closed     bool
+	room       headbudget.Room // of the head of the answer
 	trailer    *kernel.Trailer
 }
 
-func newAnswerReader(ctx context.Context, st *stream, s *session) *answerReader {
-	r := &answerReader{stream: st, session: s, br: st.br, hash: xxhash.New(), trailer: &kernel.Trailer{}}
+func newAnswerReader(ctx context.Context, st *stream, s *session, room headbudget.Room) *answerReader {
+	r := &answerReader{stream: st, session: s, br: st.br, room: room, hash: xxhash.New(), trailer: &kernel.Trailer{}}
 	r.stopCancel = context.AfterFunc(ctx, func() { st.mux.SetDeadline(time.Unix(1, 0)) }) // a deadline in the past ends pending I/O
 	return r
 }
 
-func (r *answerReader) readHead() (*wire.AnswerHead, error) {
+// readHead reads the head of the answer. A large one waits for room until ctx ends.
+func (r *answerReader) readHead(ctx context.Context) (*wire.AnswerHead, error) {
+	size, _, err := peekSize(r.br)
+	if err != nil {
+		return nil, err
+	}
 	var f wire.AnswerFrame
-	if err := readMessage(r.br, &f); err != nil {
+	if size <= largeHeadBytes || size > maxFrameBytes {
+		err = readMessage(r.br, &f)
+	} else {
+		r.largeHead = true
+		err = readLargeHead(ctx, r.br, &f, wire.CountAnswerHeaders, &r.room)
+	}
+	if err != nil {
 		return nil, err
 	}
 	if f.GetHead() == nil {
@@ -182,6 +195,7 @@
 		return nil
 	}
 	r.closed = true
+	r.room.Free()
 	reuse := r.stopCancel() && !r.largeHead && r.endErr == io.EOF && r.br.Buffered() == 0
 	r.session.release(r.stream, reuse)
 	return nil
--- a/plugin/peer/frame_test.go
+++ b/plugin/peer/frame_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -39,7 +40,7 @@
 
 func readAnswer(frames []byte) (*answerReader, []byte, error) {
 	r := &answerReader{br: bufio.NewReader(bytes.NewReader(frames)), hash: xxhash.New(), trailer: &kernel.Trailer{}}
-	if _, err := r.readHead(); err != nil {
+	if _, err := r.readHead(context.Background()); err != nil {
 		return r, nil, err
 	}
 	body, err := io.ReadAll(r)
@@ -110,7 +111,7 @@
 		w.Write(body)
 		w.finish(call.Result{Outcome: call.Answered})
 		r := &answerReader{stream: &stream{headers: dec}, br: bufio.NewReader(&frames), hash: xxhash.New(), trailer: &kernel.Trailer{}}
-		head, err := r.readHead()
+		head, err := r.readHead(context.Background())
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -163,7 +164,7 @@
 		}
 		w.finish(call.Result{Outcome: call.Answered})
 		r := &answerReader{stream: &stream{headers: newHeaderDecoder()}, br: bufio.NewReader(&frames), hash: xxhash.New(), trailer: &kernel.Trailer{}}
-		head, err := r.readHead()
+		head, err := r.readHead(context.Background())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/plugin/peer/head.go
+++ b/plugin/peer/head.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"io"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
@@ -38,32 +41,43 @@
 	if err != nil {
 		return nil, classify(err)
 	}
-	if !wire.IsCall(start[prefix]) {
-		return head, p.readControlMessage(st, int64(size), head)
+	ctx, cancel := context.WithTimeout(p.ctx, headRoomTimeout)
+	defer cancel()
+	if wire.IsCall(start[prefix]) {
+		return head, readLargeHead(ctx, st.br, head, wire.CountCallHeaders, &st.room)
+	}
+	room := p.k.Heads.Messages.Room()
+	if err := room.Set(ctx, int64(size)); err != nil {
+		return nil, errNoRoom(err, size)
+	}
+	defer room.Free()
+	return head, readMessage(st.br, head)
+}
+
+// readLargeHead reads a message with headers, whose number count returns, and adds what it takes to
+// room.
+func readLargeHead(ctx context.Context, br *bufio.Reader, m proto.Message, count func([]byte) int, room *headbudget.Room) error {
+	size, prefix, err := peekSize(br)
+	if err != nil {
+		return err
 	}
 	estimate := headbudget.Cost(int(size), int(size)/usualLineBytes)
-	if err := st.takeHeadRoom(estimate); err != nil {
-		return nil, err
+	if err := room.Add(ctx, estimate); err != nil {
+		return errNoRoom(err, size)
 	}
-	st.br.Discard(prefix) // the bytes were peeked
+	br.Discard(prefix) // the bytes were peeked
 	b := make([]byte, size)
-	if _, err := io.ReadFull(st.br, b); err != nil {
-		return nil, classify(err)
+	if _, err := io.ReadFull(br, b); err != nil {
+		return classify(err)
 	}
-	if err := st.takeHeadRoom(headbudget.Cost(int(size), wire.CountHeaders(b)) - estimate); err != nil {
-		return nil, err
+	if err := room.Add(ctx, headbudget.Cost(int(size), count(b))-estimate); err != nil {
+		return errNoRoom(err, size)
 	}
-	return head, wire.Decode(b, head)
+	return wire.Decode(b, m)
 }
 
-// readControlMessage reads a large message about control state, which takes room of its own.
-func (p *peer) readControlMessage(st *inboundStream, size int64, head *wire.StreamHead) error {
-	room := p.k.Heads.Messages.Account()
-	if err := takeRoom(room, size); err != nil {
-		return err
-	}
-	defer room.Release(size)
-	return readMessage(st.br, head)
+func errNoRoom(cause error, size uint64) error {
+	return errs.Wrap(cause, errs.Unavailable, "send it again later", "no room for a message of %d bytes in memory", size)
 }
 
 // peekSize returns the size of the next message and that of its prefix, which states it.
@@ -82,34 +96,3 @@
 		}
 	}
 }
-
-// takeHeadRoom takes room for a head that the stream keeps until it ends, or returns room if bytes
-// is negative.
-func (st *inboundStream) takeHeadRoom(bytes int64) error {
-	if bytes < 0 {
-		st.room.Release(-bytes)
-		st.headBytes += bytes
-		return nil
-	}
-	if err := takeRoom(st.room, bytes); err != nil {
-		return err
-	}
-	st.headBytes += bytes
-	return nil
-}
-
-// takeRoom waits for room for at most headRoomTimeout.
-func takeRoom(a *headbudget.Account, bytes int64) error {
-	claim := a.Claim(bytes)
-	timeout := time.NewTimer(headRoomTimeout)
-	defer timeout.Stop()
-	select {
-	case <-claim.Granted:
-		return nil
-	case <-timeout.C:
-	}
-	if claim.Abandon() {
-		return nil
-	}
-	return errs.New(errs.Unavailable, "send it again later", "no room for a message of %d bytes in memory", bytes)
-}
--- a/plugin/peer/head_test.go
+++ b/plugin/peer/head_test.go
@@ -164,7 +164,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if n := wire.CountHeaders(b); n != len(list) {
+		if n := wire.CountCallHeaders(b); n != len(list) {
 			t.Errorf("%d headers are counted, want %d", n, len(list))
 		}
 	}
--- a/plugin/peer/pool.go
+++ b/plugin/peer/pool.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
 )
@@ -24,6 +25,7 @@
 	yamuxConfig *yamux.Config
 	// replica provides the state revision to send and receives those of other nodes.
 	replica kernel.Replica
+	heads   *headbudget.Heads
 	dialer  *net.Dialer
 	// exchangeBytes counts the payload bytes of control state exchanges.
 	exchangeBytes metrics.Counter
@@ -44,7 +46,7 @@
 
 func newPool(cfg Config, k *kernel.Kernel) *pool {
 	return &pool{
-		cfg: cfg, log: k.Log, sourceNode: k.NodeID, yamuxConfig: cfg.yamuxConfig(k.Log), replica: k.Replica,
+		cfg: cfg, log: k.Log, sourceNode: k.NodeID, yamuxConfig: cfg.yamuxConfig(k.Log), replica: k.Replica, heads: k.Heads,
 		dialer:        sockopt.Dialer(cfg.DialTimeout, cfg.UnackedTimeout),
 		exchangeBytes: metrics.GetOrRegisterCounter("control.exchange_bytes", k.Metrics),
 		awaitTurn:     kernel.AwaitTurn,
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -166,8 +166,8 @@
 // closes the stream, after an error, and after a message other than a call.
 func (p *peer) serveStream(st *yamux.Stream) {
 	defer st.Close()
-	in := &inboundStream{Stream: st, br: bufio.NewReader(st), headers: newHeaderEncoder(), room: p.k.Heads.Nodes.Account()}
-	defer func() { in.room.Release(in.headBytes) }()
+	in := &inboundStream{Stream: st, br: bufio.NewReader(st), headers: newHeaderEncoder(), room: p.k.Heads.Nodes.Room()}
+	defer in.room.Free()
 	for p.serveNext(in) {
 	}
 }
@@ -179,8 +179,7 @@
 	contexts contextDecoder // of requests
 	headers  *headerEncoder // of answers
 
-	room      *headbudget.Account
-	headBytes int64 // held of room until the stream ends, because contexts keeps the heads
+	room headbudget.Room // held until the stream ends, because contexts keeps the heads
 }
 
 // serveNext serves one message and reports whether another one may follow on the
--- a/wire/count.go
+++ b/wire/count.go
@@ -8,11 +8,13 @@
 	fieldCallHeadHeaders    = 11
 	fieldCallHeadContext    = 23
 	fieldCallContextHeaders = 6
+	fieldAnswerFrameHead    = 1
+	fieldAnswerHeadHeaders  = 4
 )
 
-// CountHeaders returns the number of headers in an encoded StreamHead, without decoding it: a
+// CountCallHeaders returns the number of headers in an encoded StreamHead, without decoding it: a
 // decoded header takes many times its size.
-func CountHeaders(streamHead []byte) int {
+func CountCallHeaders(streamHead []byte) int {
 	n := 0
 	eachMessage(streamHead, fieldStreamHeadCall, func(call []byte) {
 		eachMessage(call, fieldCallHeadHeaders, func([]byte) { n++ })
@@ -23,6 +25,15 @@
 	return n
 }
 
+// CountAnswerHeaders is CountCallHeaders for an encoded AnswerFrame.
+func CountAnswerHeaders(answerFrame []byte) int {
+	n := 0
+	eachMessage(answerFrame, fieldAnswerFrameHead, func(head []byte) {
+		eachMessage(head, fieldAnswerHeadHeaders, func([]byte) { n++ })
+	})
+	return n
+}
+
 // eachMessage calls f with the content of each field with a number that holds a message, up to
 // the first malformed field.
 func eachMessage(b []byte, number protowire.Number, f func(content []byte)) {
