Bound the buffer of the log in bytes

While the output of a node was slow, clients with request ids of 15 KB made it use up its memory.

Cause: the buffer held 8,192 lines of any length, and some lines hold what a client sent.

Change: at most 8 MiB of lines are buffered, an eighth of it for lines about control state only. Further lines are dropped and counted as before.

TestBufferIsBoundedInBytes is new.

--- a/logging/logging.go
+++ b/logging/logging.go
@@ -16,8 +16,9 @@
 // Writer is a zapcore.WriteSyncer that buffers lines and writes them to the output
 // in a goroutine of its own.
 type Writer struct {
-	lines     chan []byte // nil requests a flush
-	reserved  int         // entries of lines that only lines about control state may use
+	lines     chan []byte  // nil requests a flush
+	reserved  int          // entries of lines that only lines about control state may use
+	bytes     atomic.Int64 // of the queued lines
 	dropped   atomic.Uint64
 	flushed   chan struct{} // one value per flush
 	done      chan struct{}
@@ -28,7 +29,10 @@
 // its divisor.
 const reservedFraction = 8
 
-// NewWriter starts a writer to out that buffers at most buffer lines.
+// maxBufferBytes bounds the lines that are buffered. Long ones hold what clients have sent.
+const maxBufferBytes = 8 << 20
+
+// NewWriter starts a writer to out that buffers at most buffer lines and maxBufferBytes.
 func NewWriter(out io.Writer, buffer int) *Writer {
 	w := &Writer{lines: make(chan []byte, buffer), reserved: buffer / reservedFraction, flushed: make(chan struct{}, 1), done: make(chan struct{})}
 	go w.run(out)
@@ -45,6 +49,7 @@
 			continue
 		}
 		b.add(line)
+		w.bytes.Add(-int64(len(line)))
 		if len(w.lines) == 0 || len(b.buf) >= batchBytes {
 			b.flush()
 		}
@@ -86,20 +91,31 @@
 		w.dropped.Add(1)
 		return len(p), nil
 	}
-	return w.queue(p)
+	return w.queue(p, maxBufferBytes-maxBufferBytes/reservedFraction)
 }
 
-func (w *Writer) queue(p []byte) (int, error) {
+// queue queues a line unless more than maxBytes are queued with it.
+func (w *Writer) queue(p []byte, maxBytes int64) (int, error) {
+	if w.bytes.Add(int64(len(p))) > maxBytes {
+		w.drop(p)
+		return len(p), nil
+	}
 	line := make([]byte, len(p))
 	copy(line, p)
 	select {
 	case w.lines <- line:
 	default:
-		w.dropped.Add(1)
+		w.drop(p)
 	}
 	return len(p), nil
 }
 
+// drop counts a line that was not queued.
+func (w *Writer) drop(p []byte) {
+	w.bytes.Add(-int64(len(p)))
+	w.dropped.Add(1)
+}
+
 // Sync implements zapcore.WriteSyncer. It does nothing; see Flush.
 func (w *Writer) Sync() error { return nil }
 
@@ -135,7 +151,7 @@
 type controlWriter struct{ *Writer }
 
 // Write implements io.Writer like Writer.Write.
-func (w controlWriter) Write(p []byte) (int, error) { return w.queue(p) }
+func (w controlWriter) Write(p []byte) (int, error) { return w.queue(p, maxBufferBytes) }
 
 // core writes lines to a Writer. control writes them with the reserved part of its buffer.
 type core struct {
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -46,6 +46,31 @@
 	}
 }
 
+// TestBufferIsBoundedInBytes writes long lines while the output is blocked. They must not take more than
+// maxBufferBytes, and leave a part of that to lines about control state.
+func TestBufferIsBoundedInBytes(t *testing.T) {
+	const lineBytes = 64 << 10
+	var out bytes.Buffer
+	b := blockedWriter{release: make(chan struct{})}
+	w := NewWriter(io.MultiWriter(b, &out), 4096)
+	for range 1024 {
+		w.Write([]byte(strings.Repeat("x", lineBytes-1) + "\n"))
+	}
+	control := controlWriter{w}
+	control.Write([]byte("control\n"))
+	close(b.release)
+	w.Close()
+	if n := out.Len(); n > maxBufferBytes || n < maxBufferBytes/2 {
+		t.Errorf("%d bytes were buffered, at most %d may be", n, maxBufferBytes)
+	}
+	if !strings.Contains(out.String(), "control\n") {
+		t.Error("a line about control state was dropped")
+	}
+	if w.Dropped() == 0 || w.bytes.Load() != 0 {
+		t.Errorf("%d lines were dropped, %d bytes are still counted", w.Dropped(), w.bytes.Load())
+	}
+}
+
 func TestFlushTimesOutOnBlockedOutput(t *testing.T) {
 	b := blockedWriter{release: make(chan struct{})}
 	w := NewWriter(b, 2)
