Take no answer for whole whose connection was reset during the upload

A backend server answered a long upload at once with 200 and no length, sent a part of the body and reset the connection. The caller got that part as a complete answer.

Cause: an answer without a length ends with its connection. The upload is written in the background, and its write receives the error of the socket; the read then sees an ordinary end.

Change: at such an end the node asks whether the connection has been reset, which the socket still tells (POLLHUP). An end in order, of one direction or of both, is the end of the answer as before.

Looked at elsewhere: messages between nodes state the length and a hash of the body; the clients of the store and of the load tool decode or compare the whole body; bodies of requests have a length or are chunked.

Ruled out: waiting for the upload to be written, which holds an answer that is complete until the deadline if the server does not read on.

--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -187,7 +187,8 @@
 }
 
 func (x *exchange) response(resp *http.Response, report kernel.BackendReport) *kernel.BackendResponse {
-	body := &responseBody{x: x, rc: resp.Body, reusable: !resp.Close && !x.skippedAny && hasExplicitEnd(resp) && x.conn.br.Size() == readBufferBytes}
+	explicitEnd := hasExplicitEnd(resp)
+	body := &responseBody{x: x, rc: resp.Body, explicitEnd: explicitEnd, reusable: !resp.Close && !x.skippedAny && explicitEnd && x.conn.br.Size() == readBufferBytes}
 	x.conn.maxIdle = keepAliveTime(resp.Header)
 	x.conn.named = report.NamesRequest
 	x.conn.refused = x.conn.refused || report.NotRun || report.OtherInstance
@@ -226,14 +227,21 @@
 	reusable bool
 	complete bool
 	closed   bool
+
+	explicitEnd bool // the end is marked in the response, rather than by the end of the connection
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. The end of a body that ends with its connection is that of the body only
+// if the connection was not reset.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.rc.Read(p)
-	if err == io.EOF {
-		b.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if !b.explicitEnd && sockopt.Reset(b.x.conn.Conn) {
+		return n, io.ErrUnexpectedEOF
 	}
+	b.complete = true
 	return n, err
 }
 
--- a/sockopt/sockopt.go
+++ b/sockopt/sockopt.go
@@ -75,10 +75,21 @@
 	return sockoptErr
 }
 
+// Reset reports whether a connection has been reset, also if a write has received that error, so that
+// a read sees an ordinary end. It returns false if that cannot be told, as for a connection that is not
+// TCP.
+func Reset(conn net.Conn) bool { return polls(conn, 0, unix.POLLHUP|unix.POLLERR) }
+
 // PeerClosed reports whether the other side has closed the connection, also if bytes that it
 // sent before have not been read. It returns false if that cannot be told, as for a connection
 // that is not TCP. An end of the sending direction alone counts as closed, as for readers.
 func PeerClosed(conn net.Conn) bool {
+	return polls(conn, unix.POLLRDHUP, unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR)
+}
+
+// polls reports whether poll returns one of the wanted events of a connection now. events are those to
+// ask for.
+func polls(conn net.Conn, events, wanted int16) bool {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return false
@@ -87,11 +98,11 @@
 	if err != nil {
 		return false
 	}
-	closed := false
+	found := false
 	err = raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
 		n, pollErr := unix.Poll(fds, 0)
-		closed = pollErr == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		found = pollErr == nil && n > 0 && fds[0].Revents&wanted != 0
 	})
-	return err == nil && closed
+	return err == nil && found
 }
