Take no answer with a status that is none

A backend server in trouble answered with status 000.

Cause: what net/http reads as a status includes 000, 099 and +20. A status below 200 counts as an interim answer, so the node waited for a final one. 101, which no request asks for, did too.

Change: the status line must hold a version HTTP/1.x and three digits from 100 to 999 (RFC 9112); 101 is none of an answer. 600 to 999 are passed on as before: callers treat them as failures of the server. An answer of another node must have a final status too, since an older node may pass others on.

TestStatusThatIsNone (peer) is new.

--- a/httphead/lines.go
+++ b/httphead/lines.go
@@ -35,6 +35,9 @@
 			l.ended = true
 			continue
 		case first:
+			if err := checkStatusLine(line); err != nil {
+				return err
+			}
 			continue
 		}
 		if err := checkFieldLine(line); err != nil {
@@ -44,6 +47,22 @@
 	return nil
 }
 
+// checkStatusLine checks a status line: the protocol, a status from 100 to 999 and possibly a text. A
+// status above 599 is unusual, but callers treat it as a failure of the server (RFC 9110, section 15).
+func checkStatusLine(line []byte) error {
+	rest := line[len(protocol):]
+	if len(rest) < 1+len(" 200") || !isDigit(rest[0]) || rest[1] != ' ' {
+		return errMalformed("the status line", line)
+	}
+	status, text := rest[2:5], rest[5:]
+	if status[0] == '0' || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) || len(text) > 0 && text[0] != ' ' {
+		return errMalformed("the status line", line)
+	}
+	return nil
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
 // checkFieldLine checks a header line or the continuation of one.
 func checkFieldLine(line []byte) error {
 	if line[0] == ' ' || line[0] == '\t' {
--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -180,8 +180,11 @@
 			return nil, err
 		}
 		resp, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.req.Method})
-		if err != nil || resp.StatusCode >= http.StatusOK {
+		switch {
+		case err != nil || resp.StatusCode >= http.StatusOK:
 			return resp, err
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errs.New(errs.Unavailable, "check the backend server", "the protocol was switched, which was not asked for")
 		}
 	}
 }
--- a/plugin/peer/client.go
+++ b/plugin/peer/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +69,9 @@
 	return &kernel.Answer{Result: call.Result{Outcome: call.Unknown, Reason: reason}}
 }
 
+// maxStatus is the highest status that an answer can have.
+const maxStatus = 999
+
 // answerReader reads the frames of one answer and verifies that it is complete.
 type answerReader struct {
 	stream     *stream
@@ -128,6 +132,9 @@
 	}
 	a.Pressure.Announced = DecodeAnnouncement(h.GetAnnouncement())
 	if a.Outcome == call.Answered {
+		if a.Status < http.StatusOK || a.Status > maxStatus {
+			return nil, errs.New(errs.Invalid, "upgrade the other node", "an answer with status %d", a.Status)
+		}
 		var err error
 		if a.Header, err = r.stream.headers.decode(h.GetHeaders()); err != nil {
 			return nil, err
--- a/plugin/peer/frame_test.go
+++ b/plugin/peer/frame_test.go
@@ -174,3 +174,30 @@
 		}
 	}
 }
+
+// decodeHead returns the answer of another node with this head.
+func decodeHead(t *testing.T, res call.Result, h http.Header) (*kernel.Answer, error) {
+	t.Helper()
+	var frames bytes.Buffer
+	w := newAnswerWriter(&frames, newHeaderEncoder(), 0)
+	if err := w.WriteHead(res, h); err != nil {
+		t.Fatal(err)
+	}
+	w.finish(call.Result{Outcome: call.Answered})
+	r := &answerReader{stream: &stream{headers: newHeaderDecoder()}, br: bufio.NewReader(&frames), hash: xxhash.New(), trailer: &kernel.Trailer{}}
+	head, err := r.readHead(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.decodeAnswer(head)
+}
+
+// TestStatusThatIsNone guards against an answer of another node, perhaps of an older version, whose
+// status is none of a final answer.
+func TestStatusThatIsNone(t *testing.T) {
+	for status, valid := range map[int]bool{0: false, 99: false, 100: false, 101: false, 200: true, 599: true, 999: true, 1000: false} {
+		if _, err := decodeHead(t, call.Result{Status: status}, nil); valid != (err == nil) {
+			t.Errorf("status %d: %v", status, err)
+		}
+	}
+}
