Take no answer with a line that is no header line

A backend server answered with a head in which the name of a field held a blank. Callers got 200: without that line, or with another body than the server meant, such as the chunks' lines after "Transfer Encoding: chunked" or 5 bytes where "Content-Length : 2" stood beside another length.

Cause: net/http reads names with blanks, as mail has them, and takes them for other headers.

Folded lines and bytes above 127 in values are taken as before.

Ruled out: leaving out such lines, which guesses how the body is framed.

--- a/load/load_test.go
+++ b/load/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -108,6 +109,15 @@
 			w.Header().Set(backend.RequestIDHeader, "another")
 			w.Write(payload.Body(r.Header.Get(backend.RequestIDHeader), payload.DefaultSize))
 		}, countVerdict(Wrong), false},
+		"header line that is none": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			id := r.Header.Get(backend.RequestIDHeader)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nX Odd: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", backend.RequestIDHeader, id, payload.DefaultSize, payload.Body(id, payload.DefaultSize))
+		}, countVerdict(Wrong), false},
 		"body of another request": {func(f *faultyServer, w http.ResponseWriter, r *http.Request) {
 			w.Header().Set(backend.RequestIDHeader, r.Header.Get(backend.RequestIDHeader))
 			w.Write(payload.Body("another", payload.DefaultSize))
--- a/load/verdict.go
+++ b/load/verdict.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/httphead"
 	"github.com/dogwoodhatch/dogwoodhatch/standin/backend"
 	"github.com/dogwoodhatch/dogwoodhatch/standin/backend/payload"
 )
@@ -81,9 +82,18 @@
 
 var errForeignHeader = errors.New("the id in the X-Request-Id header belongs to another request")
 
+// errHeaderName reports an answer with a line that is no header line, which no program may
+// pass on.
+var errHeaderName = errors.New("the answer has a malformed header name")
+
 // checkAnswer returns an error unless the header and the body belong to the
 // request with the given ID and the body is complete.
 func checkAnswer(id string, r reply) error {
+	for name := range r.header {
+		if !httphead.ValidName(name) {
+			return errHeaderName
+		}
+	}
 	if got := r.header.Get(backend.RequestIDHeader); got != id {
 		return errForeignHeader
 	}
--- a/plugin/backend/backend.go
+++ b/plugin/backend/backend.go
@@ -91,6 +91,7 @@
 	stopCancel func() bool // detaches the connection from the context; false if the context ended first
 	writeDone  chan error  // receives the result of a background write; nil if there is none
 	skippedAny bool        // a response to another request arrived
+	ambiguous  bool        // the end of the response can be understood in two ways
 }
 
 // send writes the request and reports whether any byte may have been sent.
@@ -191,7 +192,7 @@
 
 func (x *exchange) response(resp *http.Response, report kernel.BackendReport) *kernel.BackendResponse {
 	explicitEnd := hasExplicitEnd(resp)
-	body := &responseBody{x: x, rc: resp.Body, explicitEnd: explicitEnd, reusable: !resp.Close && !x.skippedAny && explicitEnd && x.conn.br.Size() == readBufferBytes}
+	body := &responseBody{x: x, rc: resp.Body, explicitEnd: explicitEnd, reusable: !resp.Close && !x.skippedAny && !x.ambiguous && explicitEnd && x.conn.br.Size() == readBufferBytes}
 	x.conn.maxIdle = keepAliveTime(resp.Header)
 	x.conn.named = report.NamesRequest
 	x.conn.refused = x.conn.refused || report.NotRun || report.OtherInstance
--- a/plugin/backend/head.go
+++ b/plugin/backend/head.go
@@ -27,6 +27,7 @@
 			return err
 		}
 		if s.Scan(buffered[s.Bytes:]) {
+			x.ambiguous = lines.Ambiguous()
 			return x.takeRoom(headbudget.Cost(s.Bytes, s.Lines))
 		}
 		if len(buffered) == br.Size() {
--- a/plugin/peer/compact.go
+++ b/plugin/peer/compact.go
@@ -10,6 +10,7 @@
 
 	"github.com/dogwoodhatch/dogwoodhatch/bufpool"
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
+	"github.com/dogwoodhatch/dogwoodhatch/httphead"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
 
@@ -71,6 +72,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if !httphead.ValidName(name) {
+			return nil, errs.New(errs.Invalid, "upgrade the other node", "an answer with the header name %q", name)
+		}
 		h[name] = append(h[name], value)
 	}
 	return h, nil
