Answer the requests ahead of one that cannot be read

Cause: the error of a URL that cannot be parsed implements net.Error, so it was taken for a failure of the connection, which was closed at once.

The request gets 400 after the answers ahead of it, as other malformed ones did before.

--- a/edge/conn.go
+++ b/edge/conn.go
@@ -157,11 +157,7 @@
 // no request, the status is that of the answer to send, or 0 for none.
 func (c *serverConn) readRequest() (*http.Request, int) {
 	req, err := http.ReadRequest(c.br)
-	switch {
-	case err == nil:
-	case isConnError(err):
-		return nil, 0
-	default:
+	if err != nil {
 		return nil, http.StatusBadRequest
 	}
 	c.netConn.SetReadDeadline(time.Now().Add(c.server.opts.BodyTimeout))
@@ -227,11 +223,6 @@
 // callerLeft reports whether the caller has closed the connection, which is not read.
 func (c *serverConn) callerLeft() bool { return sockopt.PeerClosed(c.netConn) }
 
-func isConnError(err error) bool {
-	var ne net.Error
-	return errors.As(err, &ne) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
-}
-
 // dispatch starts a goroutine that serves a request, and returns its body if that is yet
 // to be read. It blocks while all pipelineSlots are in use, and returns false if the caller
 // closes the connection meanwhile.
--- a/edge/server_test.go
+++ b/edge/server_test.go
@@ -267,3 +267,27 @@
 		}
 	})
 }
+
+// TestUnreadableRequestLeavesThoseAheadAnswered sends requests behind each other, the last of which
+// cannot be read. Those ahead of it must be answered, and it must get 400 in its turn.
+func TestUnreadableRequestLeavesThoseAheadAnswered(t *testing.T) {
+	for _, unreadable := range []string{
+		"GET /items/50%-off HTTP/1.1\r\nHost: a\r\n\r\n",
+		"GET http://[::1 HTTP/1.1\r\nHost: a\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+		"GET\r\n\r\n",
+		"\r\n",
+	} {
+		_, addr := startServer(t, DefaultServerOptions(), func(w http.ResponseWriter, r *http.Request) { time.Sleep(20 * time.Millisecond) })
+		conn, br := dial(t, addr)
+		io.WriteString(conn, strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 3)+unreadable)
+		for i, want := range []int{200, 200, 200, 400} {
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil || resp.StatusCode != want {
+				t.Errorf("%q: answer %d: %+v, %v; want %d", unreadable, i, resp, err, want)
+				break
+			}
+			io.Copy(io.Discard, resp.Body)
+		}
+	}
+}
