Answer what is no request with its first malformed line

Since heads are read whole before they are parsed, a client that sent no HTTP, for example to the wrong port, got its 400 only with the end of its head, or none if that did not come. A request with a blank between a header name and its colon was served without that line; with "Transfer-Encoding : chunked" what its sender meant as the body was read as further requests.

Cause: the parser that checked lines as they arrived now runs later, and takes such names.

Change: the first line must end with HTTP/1.x, and each other line have a name, no blank before the colon (RFC 9112, section 5.1) or be the continuation of one. Other lines with unusual names are served as before.

TestUnreadableRequestLeavesThoseAheadAnswered has five more cases, of which the four without an end of the head and the one with the blank fail before the change.

--- a/edge/conn.go
+++ b/edge/conn.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodhatch/dogwoodhatch/headbudget"
+	"github.com/dogwoodhatch/dogwoodhatch/httphead"
 	"github.com/dogwoodhatch/dogwoodhatch/sockopt"
 )
 
@@ -80,6 +81,9 @@
 		case errNoHeadRoom:
 			c.refuseHead()
 			return
+		case httphead.ErrMalformedRequest:
+			c.reject(http.StatusBadRequest)
+			return
 		case errHeadTooLarge:
 			c.reject(http.StatusRequestHeaderFieldsTooLarge)
 			return
--- a/edge/head.go
+++ b/edge/head.go
@@ -28,8 +28,12 @@
 // exceeds connBufferBytes takes room before its buffer grows.
 func (c *serverConn) bufferHead() (httphead.Scanner, error) {
 	var s httphead.Scanner
+	var lines httphead.RequestLines
 	for {
 		buffered, _ := c.br.Peek(c.br.Buffered()) // what is buffered can be peeked
+		if err := lines.Check(buffered); err != nil {
+			return s, err
+		}
 		if s.Scan(buffered[s.Bytes:]) {
 			return s, nil
 		}
--- a/edge/server_test.go
+++ b/edge/server_test.go
@@ -277,6 +277,11 @@
 		"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
 		"GET\r\n\r\n",
 		"\r\n",
+		"GET /\r\n", // and no end of the head
+		"GET / HTTP/1.1\r\nHost: a\r\nno colon\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: a\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\n: empty\r\n",
+		"GET / HTTP/2.0\r\n",
 	} {
 		_, addr := startServer(t, DefaultServerOptions(), func(w http.ResponseWriter, r *http.Request) { time.Sleep(20 * time.Millisecond) })
 		conn, br := dial(t, addr)
--- a/httphead/lines.go
+++ b/httphead/lines.go
@@ -6,14 +6,66 @@
 	"github.com/dogwoodhatch/dogwoodhatch/errs"
 )
 
-// protocol begins each response.
+// protocol begins each response, and the last word of the first line of each request.
 const protocol = "HTTP/1."
 
+// lines splits a head into lines as they arrive.
+type lines struct {
+	seen  int  // bytes of complete lines
+	ended bool // the empty line at the end has been seen
+}
+
+// next returns the next line of a head that has become complete, without its end, or false if there
+// is none yet. head is what has arrived of it, and possibly what follows.
+func (l *lines) next(head []byte) (line []byte, first, ok bool) {
+	if l.ended {
+		return nil, false, false
+	}
+	end := bytes.IndexByte(head[l.seen:], '\n')
+	if end < 0 {
+		return nil, false, false
+	}
+	first = l.seen == 0
+	line = bytes.TrimSuffix(head[l.seen:l.seen+end], []byte{'\r'})
+	l.seen += end + 1
+	l.ended = len(line) == 0
+	return line, first, !l.ended
+}
+
+// ErrMalformedRequest reports what is no request.
+var ErrMalformedRequest = errs.New(errs.Invalid, "send requests of HTTP/1.1", "malformed request")
+
+// RequestLines checks the lines of the head of a request as they arrive, so that what is no request is
+// answered at once and not only with the end of its head.
+type RequestLines struct{ lines }
+
+// Check checks the lines of a head that have become complete since the last call, and returns
+// ErrMalformedRequest if one of them cannot stand in a request. head is what has arrived of the head, and
+// possibly what follows.
+func (l *RequestLines) Check(head []byte) error {
+	for {
+		line, first, ok := l.next(head)
+		switch {
+		case !ok:
+			return nil
+		case first:
+			if i := bytes.LastIndexByte(line, ' '); i < 0 || !bytes.HasPrefix(line[i+1:], []byte(protocol)) {
+				return ErrMalformedRequest
+			}
+		case line[0] != ' ' && line[0] != '\t':
+			// A blank before the colon must be refused (RFC 9112, section 5.1): others might
+			// read the name without it, and with it the end of the body.
+			if i := bytes.IndexByte(line, ':'); i <= 0 || line[i-1] == ' ' || line[i-1] == '\t' {
+				return ErrMalformedRequest
+			}
+		}
+	}
+}
+
 // ResponseLines checks the lines of the head of a response as they arrive, so that what is no
 // response is found at once and not only with the end of its head.
 type ResponseLines struct {
-	checked   int  // bytes of complete lines
-	ended     bool // the head has ended
+	lines
 	http10    bool
 	hasLength bool // the head states a length
 	hasCoding bool // the head states a transfer coding
@@ -25,30 +77,19 @@
 	if n := min(len(head), len(protocol)); string(head[:n]) != protocol[:n] {
 		return errMalformed("the status line", head)
 	}
-	for !l.ended {
-		end := bytes.IndexByte(head[l.checked:], '\n')
-		if end < 0 {
+	for {
+		line, first, ok := l.next(head)
+		if !ok {
 			return nil
 		}
-		line := bytes.TrimSuffix(head[l.checked:l.checked+end], []byte{'\r'})
-		first := l.checked == 0
-		l.checked += end + 1
-		switch {
-		case len(line) == 0:
-			l.ended = true
-			continue
-		case first:
-			if err := checkStatusLine(line); err != nil {
-				return err
-			}
-			l.http10 = line[len(protocol)] == '0'
-			continue
+		check := l.checkField
+		if first {
+			check = l.checkStatus
 		}
-		if err := l.checkField(line); err != nil {
+		if err := check(line); err != nil {
 			return err
 		}
 	}
-	return nil
 }
 
 // Ambiguous reports whether the head states both a length and a transfer coding. The length is
@@ -56,9 +97,9 @@
 // used again.
 func (l *ResponseLines) Ambiguous() bool { return l.hasLength && l.hasCoding }
 
-// checkStatusLine checks a status line: the protocol, a status from 100 to 999 and possibly a text. A
+// checkStatus checks a status line: the protocol, a status from 100 to 999 and possibly a text. A
 // status above 599 is unusual, but callers treat it as a failure of the server (RFC 9110, section 15).
-func checkStatusLine(line []byte) error {
+func (l *ResponseLines) checkStatus(line []byte) error {
 	rest := line[len(protocol):]
 	if len(rest) < 1+len(" 200") || !isDigit(rest[0]) || rest[1] != ' ' {
 		return errMalformed("the status line", line)
@@ -67,6 +108,7 @@
 	if status[0] == '0' || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) || len(text) > 0 && text[0] != ' ' {
 		return errMalformed("the status line", line)
 	}
+	l.http10 = rest[0] == '0'
 	return nil
 }
 
