Serve a single large body inside the limits

A PUT of 3 MB to the node beside its backend server got 503 (body_room) in calm, and one of 6 MB anywhere, although max_body_bytes is 64 MiB.

Cause: the budget for bodies is an eighth of 48 MiB, a body gets at most three quarters, and at the node beside the backend server the same body takes room twice, as that of a caller and as that of a call.

Change: bodies of calls of other nodes have a budget of their own of the same size. By default one body at a time may exceed the budget, up to a quarter of the memory of the VM, besides the others; further such bodies wait for it. body_memory_bytes set by an operator stays a bound without exception. The limit of a quarter leaves a node with 184 MB room for one body of up to 46 MB, not for 64 MiB: it is held twice at the node beside its backend server, and no process may end.

TestOneHugeBodyIsHeldBesides is new.

--- a/bodybudget/bodybudget.go
+++ b/bodybudget/bodybudget.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -20,10 +21,12 @@
 // use. A nil Budget is unlimited.
 type Budget struct {
 	limit   int64
+	huge    int64 // largest body that may be held besides the limit, one at a time; 0 for none
 	refused atomic.Int64
 
 	mu       sync.Mutex
 	used     int64
+	hugeUsed bool
 	buffered int64     // received for bodies that wait
 	waiting  []*waiter // in order of arrival
 }
@@ -37,6 +40,10 @@
 // New returns a budget of limit bytes.
 func New(limit int64) *Budget { return &Budget{limit: limit} }
 
+// NewWithHuge returns a budget of limit bytes. Besides, one body at a time may have up to huge bytes,
+// so that a body that never fits the limit is served while no other such body is held.
+func NewWithHuge(limit, huge int64) *Budget { return &Budget{limit: limit, huge: huge} }
+
 // reserveFraction is the part of the budget, as its divisor, that only TryAcquire uses, so
 // that small bodies do not wait behind large ones.
 const reserveFraction = 8
@@ -64,8 +71,39 @@
 	return true
 }
 
+// isHuge reports whether a body of that size never fits the limit.
+func (b *Budget) isHuge(bytes int64) bool { return bytes > b.largeLimit() }
+
+// Ceiling returns the room to take for a body of at most limit bytes that may grow further, once it needs
+// that many bytes: that many, or for a huge one the most that it can have, since a huge body cannot grow.
+func (b *Budget) Ceiling(bytes, limit int64) int64 {
+	if b != nil && b.isHuge(bytes) && bytes <= b.huge {
+		return min(limit, b.huge)
+	}
+	return bytes
+}
+
 // fits reports whether there is room for a large body. The caller must hold mu.
-func (b *Budget) fits(bytes int64) bool { return b.used+bytes <= b.largeLimit() }
+func (b *Budget) fits(bytes int64) bool {
+	if b.isHuge(bytes) {
+		return !b.hugeUsed
+	}
+	return b.used+bytes <= b.largeLimit()
+}
+
+// take takes the room of a large body. The caller must hold mu.
+func (b *Budget) take(bytes int64) {
+	if b.isHuge(bytes) {
+		b.hugeUsed = true
+		return
+	}
+	b.used += bytes
+}
+
+// isAwaited reports whether a body waits for the same room as one of that size. The caller must hold mu.
+func (b *Budget) isAwaited(bytes int64) bool {
+	return slices.ContainsFunc(b.waiting, func(w *waiter) bool { return b.isHuge(w.bytes) == b.isHuge(bytes) })
+}
 
 // Acquire takes room for a body, in order of arrival. It returns ErrTooLarge for a body
 // that never fits, and ErrNoRoom if ctx ends first.
@@ -80,13 +118,13 @@
 	if b == nil {
 		return nil
 	}
-	if bytes > b.largeLimit() {
+	if bytes > max(b.largeLimit(), b.huge) {
 		b.refused.Add(1)
 		return ErrTooLarge
 	}
 	b.mu.Lock()
-	if len(b.waiting) == 0 && b.fits(bytes) {
-		b.used += bytes
+	if !b.isAwaited(bytes) && b.fits(bytes) {
+		b.take(bytes)
 		b.mu.Unlock()
 		return nil
 	}
@@ -130,18 +168,32 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used -= bytes
+	if b.isHuge(bytes) {
+		b.hugeUsed = false
+	} else {
+		b.used -= bytes
+	}
 	b.grant()
 }
 
-// grant gives room to those that have waited longest. The caller must hold mu.
+// grant gives room to those that have waited longest: huge bodies do not hold up others, nor these
+// them. The caller must hold mu.
 func (b *Budget) grant() {
-	for len(b.waiting) > 0 && b.fits(b.waiting[0].bytes) {
-		b.used += b.waiting[0].bytes
-		b.buffered -= b.waiting[0].buffered
-		close(b.waiting[0].granted)
-		b.waiting = b.waiting[1:]
-	}
+	var held [2]bool // up, for other bodies and for huge ones
+	b.waiting = slices.DeleteFunc(b.waiting, func(w *waiter) bool {
+		kind := 0
+		if b.isHuge(w.bytes) {
+			kind = 1
+		}
+		if held[kind] || !b.fits(w.bytes) {
+			held[kind] = true
+			return false
+		}
+		b.take(w.bytes)
+		b.buffered -= w.buffered
+		close(w.granted)
+		return true
+	})
 }
 
 // Status is the use of a Budget.
--- a/bodybudget/bodybudget_test.go
+++ b/bodybudget/bodybudget_test.go
@@ -80,6 +80,48 @@
 	}
 }
 
+// Guards against a body inside the limits that is refused although nothing else is held, and against huge
+// bodies that take the room of others or each other.
+func TestOneHugeBodyIsHeldBesides(t *testing.T) {
+	const huge = 4 * testLimit
+	b := NewWithHuge(testLimit, huge)
+	short, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	if err := b.Acquire(short, huge); err != nil {
+		t.Fatalf("a huge body alone: %v", err)
+	}
+	if err := b.Acquire(short, huge+1); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("a body above the bound of huge ones: %v", err)
+	}
+	if err := b.Acquire(short, b.largeLimit()); err != nil {
+		t.Errorf("a large body beside a huge one: %v", err)
+	}
+	if err := b.Acquire(short, huge); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("a huge body beside another: %v", err)
+	}
+	waiting := make(chan error)
+	go func() { waiting <- b.Acquire(context.Background(), testLimit) }()
+	for b.Status().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.Release(b.largeLimit())
+	if err := b.Acquire(context.Background(), b.largeLimit()); err != nil {
+		t.Errorf("a large body while a huge one waits: %v", err)
+	}
+	b.Release(huge)
+	if err := <-waiting; err != nil {
+		t.Errorf("a huge body after another has ended: %v", err)
+	}
+	b.Release(testLimit)
+	b.Release(b.largeLimit())
+	if s := b.Status(); s.Used != 0 || b.hugeUsed {
+		t.Errorf("%+v after all have ended", s)
+	}
+	if grown := b.Ceiling(testLimit, huge); grown != huge {
+		t.Errorf("a body that grows to %d takes %d", testLimit, grown)
+	}
+}
+
 // Guards against a large body that never gets room because smaller ones overtake it.
 func TestRoomIsGivenInOrder(t *testing.T) {
 	b := New(testLimit)
--- a/edge/body.go
+++ b/edge/body.go
@@ -195,6 +195,7 @@
 // grow doubles a full buffer. Both buffers are counted while one is copied.
 func (b *streamedBody) grow(ctx context.Context, buf []byte) ([]byte, error) {
 	size := min(2*int64(cap(buf)), b.limit+1)
+	size = b.conn.server.opts.Bodies.Ceiling(size, b.limit+1)
 	if err := b.takeRoom(ctx, size); err != nil {
 		return nil, err
 	}
--- a/edge/upload_test.go
+++ b/edge/upload_test.go
@@ -284,3 +284,31 @@
 	}
 	awaitRoom(t, opts.Bodies)
 }
+
+// TestHugeChunkedBodyIsServedAlone sends a body of unknown length that exceeds the budget for bodies. It must
+// be read whole, and its room be free afterwards.
+func TestHugeChunkedBodyIsServedAlone(t *testing.T) {
+	const size = 3 << 20
+	opts := DefaultServerOptions()
+	opts.Bodies = bodybudget.NewWithHuge(1<<20, 4<<20)
+	opts.RoomTimeout = 100 * time.Millisecond
+	_, addr := startServer(t, opts, func(w http.ResponseWriter, r *http.Request) {
+		body, err := Body(r.Context(), r)
+		if err != nil {
+			WriteBodyError(w, err)
+			return
+		}
+		fmt.Fprint(w, len(body))
+	})
+	for range 3 {
+		conn, br := dial(t, addr)
+		io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+		fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("x", size))
+		if resp, body := readAnswer(t, br); resp.StatusCode != http.StatusOK || body != fmt.Sprint(size) {
+			t.Errorf("status %d, %q", resp.StatusCode, body)
+		}
+	}
+	if s := opts.Bodies.Status(); s.Used != 0 {
+		t.Errorf("%+v after all bodies", s)
+	}
+}
--- a/kernel/bodies.go
+++ b/kernel/bodies.go
@@ -7,17 +7,17 @@
 	"github.com/dogwoodhatch/dogwoodhatch/settings"
 )
 
-// newBodyBudget returns the budget for request bodies that the settings call for.
+// newBodyBudget returns a budget for request bodies as the settings call for.
 func newBodyBudget(s *settings.Settings) *bodybudget.Budget {
 	if limit := s.Limits.BodyMemoryBytes; limit > 0 {
 		return bodybudget.New(int64(limit))
 	}
-	return bodybudget.New(bodybudget.DefaultLimit())
+	return bodybudget.Default()
 }
 
 func (k *Kernel) registerBodyGauges() {
 	gauge := func(name string, value func(bodybudget.Status) int64) {
-		metrics.NewRegisteredFunctionalGauge("bodies."+name, k.Metrics, func() int64 { return value(k.Bodies.Status()) })
+		metrics.NewRegisteredFunctionalGauge("bodies."+name, k.Metrics, func() int64 { return value(k.Bodies.Status()) + value(k.CallBodies.Status()) })
 	}
 	gauge("bytes", func(s bodybudget.Status) int64 { return s.Used })
 	gauge("limit_bytes", func(s bodybudget.Status) int64 { return s.Limit })
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -50,7 +50,8 @@
 	Store      store.Store // nil if no store is configured
 	Exchanges  *Exchanges
 	Drain      *Drain
-	Bodies     *bodybudget.Budget // memory for request bodies
+	Bodies     *bodybudget.Budget // memory for bodies of requests of callers
+	CallBodies *bodybudget.Budget // memory for bodies of calls of other nodes
 	Heads      *headbudget.Heads  // memory for the heads of requests
 
 	descriptors  int // that the node may open
@@ -112,7 +113,7 @@
 // New returns a kernel on which all registered plug-ins have been set up, or the error
 // of the first one whose setup failed.
 func New(s *settings.Settings, nodeID string, log *zap.Logger, reg metrics.Registry) (*Kernel, error) {
-	k := &Kernel{Settings: s, Sampler: logging.NewSampler(s.Log.Sample), NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Records: newRecords(), Routes: &route.ActiveTable{}, Drain: newDrain(), Bodies: newBodyBudget(s), Heads: newHeadBudgets(s), descriptors: descriptors(s, log)}
+	k := &Kernel{Settings: s, Sampler: logging.NewSampler(s.Log.Sample), NodeID: nodeID, Log: log, Metrics: reg, Control: newControl(), Exchanges: newExchanges(), Records: newRecords(), Routes: &route.ActiveTable{}, Drain: newDrain(), Bodies: newBodyBudget(s), CallBodies: newBodyBudget(s), Heads: newHeadBudgets(s), descriptors: descriptors(s, log)}
 	k.Pulse = newPulse(log, k.Control)
 	k.registerBodyGauges()
 	k.registerHeadGauges()
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -259,7 +259,7 @@
 // serveBody reads the body of an attempt, for which there is room, and serves the attempt.
 // The room is returned with the end of the answer, not when the stream is used again.
 func (p *peer) serveBody(ctx context.Context, cancel func(), st *inboundStream, head *wire.CallHead) (<-chan bool, error) {
-	defer p.k.Bodies.Release(int64(head.GetBodyBytes()))
+	defer p.k.CallBodies.Release(int64(head.GetBodyBytes()))
 	body, err := readBody(st.br, int(head.GetBodyBytes()), p.cfg.MaxRequestBytes())
 	if err != nil {
 		return nil, err
@@ -292,13 +292,13 @@
 // time. Meanwhile flow control holds back the source.
 func (p *peer) takeRoom(ctx context.Context, head *wire.CallHead) bool {
 	size := int64(head.GetBodyBytes())
-	if size <= chunkBytes && p.k.Bodies.TryAcquire(size) {
+	if size <= chunkBytes && p.k.CallBodies.TryAcquire(size) {
 		return true
 	}
 	wait := time.Duration(roomWaitFraction * float64(head.GetTimeoutMs()) * float64(time.Millisecond))
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	return p.k.Bodies.AcquireBuffered(ctx, size, min(size, streamWindowBytes)) == nil
+	return p.k.CallBodies.AcquireBuffered(ctx, size, min(size, streamWindowBytes)) == nil
 }
 
 // refuseBody discards the body of an attempt, since the source sends it whole before it
--- a/plugin/peer/upload_test.go
+++ b/plugin/peer/upload_test.go
@@ -68,7 +68,7 @@
 	newNode := func() *peer {
 		s := &settings.Settings{}
 		s.Listen.Peer = addr
-		return newPeer(cfg, &kernel.Kernel{Settings: s, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Replica: noReplica{}, Target: target, Bodies: bodies, Heads: heads})
+		return newPeer(cfg, &kernel.Kernel{Settings: s, Log: zap.NewNop(), Metrics: metrics.NewRegistry(), Replica: noReplica{}, Target: target, CallBodies: bodies, Heads: heads})
 	}
 	node, source := newNode(), newNode()
 	if err := node.Start(context.Background()); err != nil {
