Take room for the trailers of a chunked request, and drop them

Trailers are parsed like a head, and were held until their request was answered, whatever lines they had.

Cause: net/http parses trailers that fit the buffer of the connection, which a large head makes larger.

Change: trailers, which are not forwarded, are dropped once the body is read. A chunked request whose head needed a larger buffer takes room for as many trailers as fit it.

TestTrailersTakeRoom is new.

--- a/edge/body.go
+++ b/edge/body.go
@@ -89,6 +89,7 @@
 // is closed.
 type streamedBody struct {
 	conn            *serverConn
+	req             *http.Request
 	src             io.Reader
 	length          int64 // -1 if unknown
 	limit           int64
@@ -137,6 +138,7 @@
 	}
 	b.loaded = true
 	b.data, b.err = b.readAll(ctx)
+	b.req.Trailer = nil // not forwarded, and it takes memory while the request is in flight
 	if b.err != nil {
 		b.data = nil
 		return nil, b.err
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -150,11 +150,11 @@
 func (c *serverConn) readHead() (headRoom, error) {
 	c.headDeadline = time.Now().Add(c.server.opts.HeaderTimeout())
 	c.netConn.SetReadDeadline(c.headDeadline)
-	s, err := c.bufferHead()
+	cost, err := c.bufferHead()
 	if err != nil {
 		return headRoom{}, err
 	}
-	return c.takeHeadRoom(s)
+	return c.takeHeadRoom(cost)
 }
 
 // readRequest reads one request, whose head is in the buffer, with its body. If it returns
@@ -173,7 +173,7 @@
 	req.RemoteAddr = c.netConn.RemoteAddr().String()
 	expectContinue := strings.EqualFold(req.Header.Get("Expect"), "100-continue") && req.ContentLength != 0
 	if expectContinue || req.ContentLength < 0 || req.ContentLength > eagerBodyBytes || !c.server.opts.Bodies.TryAcquire(req.ContentLength) {
-		req.Body = &streamedBody{conn: c, src: req.Body, length: req.ContentLength, limit: limit, expectContinue: expectContinue, settled: make(chan struct{})}
+		req.Body = &streamedBody{conn: c, req: req, src: req.Body, length: req.ContentLength, limit: limit, expectContinue: expectContinue, settled: make(chan struct{})}
 		return req, 0
 	}
 	body, err := readBody(req.Body, req.ContentLength)
--- a/edge/head.go
+++ b/edge/head.go
@@ -18,35 +18,43 @@
 	errCallerLeft   = errors.New("the caller has closed the connection")
 )
 
+// minLineBytes is the size of the shortest header line. The trailers of a chunked body are parsed from the
+// buffer too, and fit it.
+const minLineBytes = len("a:\r\n")
+
 // headRoom is what the head of a request takes of the budgets until the request is answered.
 type headRoom struct {
 	parsed    int64 // of Heads.Callers
 	readAhead int64 // of Heads.ReadAhead
 }
 
-// bufferHead reads until the whole head of a request is in c.br, and returns its size. A head that
-// exceeds connBufferBytes takes room before its buffer grows.
-func (c *serverConn) bufferHead() (httphead.Scanner, error) {
+// bufferHead reads until the whole head of a request is in c.br, and returns what it costs to parse it. A
+// head that exceeds connBufferBytes takes room before its buffer grows.
+func (c *serverConn) bufferHead() (int64, error) {
 	var s httphead.Scanner
 	var lines httphead.RequestLines
 	for {
 		buffered, _ := c.br.Peek(c.br.Buffered()) // what is buffered can be peeked
 		if err := lines.Check(buffered); err != nil {
-			return s, err
+			return 0, err
 		}
 		if s.Scan(buffered[s.Bytes:]) {
-			return s, nil
+			cost := headbudget.Cost(s.Bytes, s.Lines)
+			if lines.HasCoding && c.readingRoom > 0 {
+				cost += headbudget.Cost(c.br.Size(), c.br.Size()/minLineBytes)
+			}
+			return cost, nil
 		}
 		if len(buffered) == c.br.Size() {
 			if err := c.growBuffer(); err != nil {
-				return s, err
+				return 0, err
 			}
 		}
 		if _, err := c.br.Peek(len(buffered) + 1); err != nil {
 			if c.limitReader.N <= 0 {
-				return s, errHeadTooLarge
+				return 0, errHeadTooLarge
 			}
-			return s, err
+			return 0, err
 		}
 	}
 }
@@ -98,7 +106,7 @@
 
 // takeHeadRoom waits for the room that a request takes in flight. A request behind unanswered ones
 // waits for as long as there are any, since the caller waits for those in any case.
-func (c *serverConn) takeHeadRoom(s httphead.Scanner) (headRoom, error) {
+func (c *serverConn) takeHeadRoom(parsed int64) (headRoom, error) {
 	var room headRoom
 	if c.inFlight() > 0 {
 		granted, err := c.claimReadAhead()
@@ -107,7 +115,6 @@
 		}
 		room.readAhead = granted
 	}
-	parsed := headbudget.Cost(s.Bytes, s.Lines)
 	if err := c.claim(c.parsed, parsed, c.server.opts.RoomTimeout); err != nil {
 		c.returnHeadRoom(room)
 		return room, err
--- a/edge/head_test.go
+++ b/edge/head_test.go
@@ -193,3 +193,31 @@
 		}
 	}
 }
+
+// TestTrailersTakeRoom sends a chunked body with trailers behind a large head, in whose buffer they fit. Guards
+// against trailers that are parsed without room.
+func TestTrailersTakeRoom(t *testing.T) {
+	const trailers = 4000
+	opts := DefaultServerOptions()
+	running, release := make(chan struct{}), make(chan struct{})
+	_, addr := startServer(t, opts, func(w http.ResponseWriter, r *http.Request) {
+		body := r.Body.(*streamedBody)
+		io.Copy(io.Discard, body)
+		if body.req.Trailer != nil {
+			t.Errorf("%d trailers are held", len(body.req.Trailer))
+		}
+		running <- struct{}{}
+		<-release
+	})
+	conn, br := dial(t, addr)
+	fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: a\r\nLong: %s\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("x", 40<<10))
+	fmt.Fprintf(conn, "2\r\nab\r\n0\r\n%s\r\n", strings.Repeat("a:\r\n", trailers))
+	<-running
+	if used := opts.Heads.Callers.Status().Used; used < headbudget.Cost(0, trailers) {
+		t.Errorf("a request with %d trailers holds %d bytes of room", trailers, used)
+	}
+	close(release)
+	if resp, _ := readAnswer(t, br); resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
--- a/httphead/lines.go
+++ b/httphead/lines.go
@@ -9,6 +9,12 @@
 // protocol begins each response, and the last word of the first line of each request.
 const protocol = "HTTP/1."
 
+// Names of the headers that state where a body ends.
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+)
+
 // lines splits a head into lines as they arrive.
 type lines struct {
 	seen  int  // bytes of complete lines
@@ -37,7 +43,10 @@
 
 // RequestLines checks the lines of the head of a request as they arrive, so that what is no request is
 // answered at once and not only with the end of its head.
-type RequestLines struct{ lines }
+type RequestLines struct {
+	lines
+	HasCoding bool // the head states a transfer coding
+}
 
 // Check checks the lines of a head that have become complete since the last call, and returns
 // ErrMalformedRequest if one of them cannot stand in a request. head is what has arrived of the head, and
@@ -57,6 +66,8 @@
 			// read the name without it, and with it the end of the body.
 			if i := bytes.IndexByte(line, ':'); i <= 0 || line[i-1] == ' ' || line[i-1] == '\t' {
 				return ErrMalformedRequest
+			} else if bytes.EqualFold(line[:i], transferEncoding) {
+				l.HasCoding = true
 			}
 		}
 	}
@@ -127,9 +138,9 @@
 		return errMalformed("a header line", line)
 	}
 	switch {
-	case bytes.EqualFold(name, []byte("Content-Length")):
+	case bytes.EqualFold(name, contentLength):
 		l.hasLength = true
-	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+	case bytes.EqualFold(name, transferEncoding):
 		l.hasCoding = true
 		if l.http10 {
 			return errMalformed("a transfer coding in HTTP/1.0", line)
