--- a/edge/server.go
+++ b/edge/server.go
@@ -84,6 +84,13 @@
 	listener net.Listener
 	conns    map[*serverConn]struct{}
 	stopping bool
+	full     fullLog
+}
+
+// fullLog says how often connections had to give way, in at most one line a second.
+type fullLog struct {
+	closed int // since the last line
+	last   time.Time
 }
 
 // NewServer returns a server. Serve starts it.
@@ -141,6 +148,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if limit := s.opts.MaxConns; limit > 0 && len(s.conns) >= limit {
+		s.logFull()
 		if len(s.conns) >= limit+max(limit/evictedFraction, 1) || !s.evict() {
 			return false
 		}
@@ -149,6 +157,18 @@
 	return true
 }
 
+// logFullInterval is the time between two lines of fullLog.
+const logFullInterval = time.Second
+
+// logFull counts a connection that is closed because there are too many. The caller must hold mu.
+func (s *Server) logFull() {
+	s.full.closed++
+	if now := time.Now(); now.Sub(s.full.last) >= logFullInterval {
+		s.log.Warn("connections_full", zap.Stringer("addr", s.listener.Addr()), zap.Int("limit", s.opts.MaxConns), zap.Int("closed", s.full.closed))
+		s.full = fullLog{last: now}
+	}
+}
+
 // evictedFraction is the part of MaxConns, as its divisor, by which connections that have been
 // closed, but have not ended, may exceed it.
 const evictedFraction = 8
