Pass headers on in any encoding

Cause: header values are strings in the messages between nodes, which must be UTF-8 there.

Change: they are bytes, which are encoded alike. An older node still loses such a head.

TestCallHeadsRoundTrip and TestHeadersRoundTrip draw such values too.

--- a/plugin/peer/compact.go
+++ b/plugin/peer/compact.go
@@ -37,7 +37,7 @@
 func (e *headerEncoder) encode(h http.Header) []*wire.Header {
 	list := EncodeHeader(h)
 	for _, line := range list {
-		key := [2]string{line.Name, line.Value}
+		key := [2]string{line.Name, string(line.Value)}
 		if position, ok := e.lines[key]; ok {
 			*line = wire.Header{LineAt: position}
 			continue
@@ -87,7 +87,7 @@
 		}
 		return d.lines[position-1][0], d.lines[position-1][1], nil
 	}
-	name, value = line.GetName(), line.GetValue()
+	name, value = line.GetName(), string(line.GetValue())
 	if position := int(line.GetNameAt()); position > len(d.names) {
 		return "", "", errUnknownPosition("header name", position)
 	} else if position > 0 {
--- a/plugin/peer/compact_test.go
+++ b/plugin/peer/compact_test.go
@@ -28,7 +28,7 @@
 	h := http.Header{}
 	for range rapid.IntRange(0, 6).Draw(t, "lines") {
 		name := rapid.SampledFrom([]string{"Accept", "X-A", "X-B", "Stamp", "Cookie"}).Draw(t, "name")
-		h[name] = append(h[name], rapid.StringMatching(`[a-c]{0,3}`).Draw(t, "value"))
+		h[name] = append(h[name], rapid.OneOf(rapid.StringMatching(`[a-c]{0,3}`), rapid.Just("caf\xe9")).Draw(t, "value"))
 	}
 	return h
 }
@@ -81,7 +81,7 @@
 	if err := dec.decode(&wire.CallHead{}); err == nil {
 		t.Error("a call without a context was accepted")
 	}
-	for _, line := range []*wire.Header{{LineAt: 1}, {NameAt: 1, Value: "x"}} {
+	for _, line := range []*wire.Header{{LineAt: 1}, {NameAt: 1, Value: []byte("x")}} {
 		if _, err := newHeaderDecoder().decode([]*wire.Header{line}); err == nil {
 			t.Errorf("%v was accepted", line)
 		}
--- a/plugin/peer/header.go
+++ b/plugin/peer/header.go
@@ -16,7 +16,7 @@
 	out := make([]*wire.Header, 0, len(h))
 	for name, values := range h {
 		for _, v := range values {
-			out = append(out, &wire.Header{Name: name, Value: v})
+			out = append(out, &wire.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *wire.Header) int { return strings.Compare(a.Name, b.Name) })
@@ -27,7 +27,7 @@
 func DecodeHeader(list []*wire.Header) http.Header {
 	h := make(http.Header, len(list))
 	for _, e := range list {
-		h[e.GetName()] = append(h[e.GetName()], e.GetValue())
+		h[e.GetName()] = append(h[e.GetName()], string(e.GetValue()))
 	}
 	return h
 }
