Stop writing an answer that its source has abandoned

Cause: a write to a stream waits for the window, which its source no longer opens, and had no deadline.

Change: a write ends with its attempt, which ends when the source closes the stream, sends the next message, or the deadline passes.

--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -265,7 +265,11 @@
 		return nil, err
 	}
 	st.SetReadDeadline(time.Time{})
+	st.SetWriteDeadline(time.Time{})
 	next := watchForNext(st.br, cancel)
+	// Nobody reads the answer of an attempt that is over, so a write would wait for the window.
+	stop := context.AfterFunc(ctx, func() { st.SetWriteDeadline(time.Unix(1, 0)) }) // a deadline in the past ends pending I/O
+	defer stop()
 	w := newAnswerWriter(st, st.headers, p.k.Replica.Revision())
 	w.finish(p.k.Target.Serve(ctx, head, body, w))
 	if w.err != nil {
--- a/plugin/peer/upload_test.go
+++ b/plugin/peer/upload_test.go
@@ -54,8 +54,13 @@
 	return startPeersWithHeads(t, target, bodies, headbudget.NewHeads(headbudget.DefaultMemory))
 }
 
+// startPeersFor is startPeers for any target, without a budget for bodies.
+func startPeersFor(t *testing.T, target kernel.Target) (string, *pool) {
+	return startPeersWithHeads(t, target, nil, headbudget.NewHeads(headbudget.DefaultMemory))
+}
+
 // startPeersWithHeads is startPeers with budgets for heads.
-func startPeersWithHeads(t *testing.T, target *bodyTarget, bodies *bodybudget.Budget, heads *headbudget.Heads) (string, *pool) {
+func startPeersWithHeads(t *testing.T, target kernel.Target, bodies *bodybudget.Budget, heads *headbudget.Heads) (string, *pool) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
