--- a/apps/dogwoodhatch-node/main.go
+++ b/apps/dogwoodhatch-node/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -19,10 +20,27 @@
 // exitUsage is the exit status for errors in the command line or the settings.
 const exitUsage = 2
 
+// descriptors is a number that a template of the platform fills in and some deployments do not have.
+type descriptors int
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (d *descriptors) UnmarshalFlag(value string) error {
+	if value == "" {
+		return nil
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 0 {
+		return fmt.Errorf("%q is not a number of descriptors; use 0 or more", value)
+	}
+	*d = descriptors(n)
+	return nil
+}
+
 func main() {
 	debug.SetMemoryLimit(memlimit.MinLimit) // the node raises it while collections cost too much
 	var opts struct {
-		Config string `short:"c" long:"config" env:"DOGWOODHATCH_NODE_FILE" required:"true" value-name:"FILE" description:"settings file (INI)"`
+		Config      string      `short:"c" long:"config" env:"DOGWOODHATCH_NODE_FILE" required:"true" value-name:"FILE" description:"settings file (INI)"`
+		Descriptors descriptors `long:"descriptors" value-name:"N" description:"descriptors that the node may open, unless the settings say; empty for the limit of the process"`
 	}
 	if _, err := flags.Parse(&opts); err != nil {
 		if flags.WroteHelp(err) {
@@ -30,7 +48,7 @@
 		}
 		os.Exit(exitUsage)
 	}
-	n, err := node.New(&node.Options{Config: opts.Config})
+	n, err := node.New(&node.Options{Config: opts.Config, Descriptors: int(opts.Descriptors)})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.Limits.Descriptors == 0 {
+		s.Limits.Descriptors = o.Descriptors
+	}
 	n := &Node{settings: s, configPath: o.Config, exited: make(chan struct{})}
 	if err := n.openLog(o); err != nil {
 		return nil, err
