Give each connection time to send a request before it gives way

Cause: connections at the listener for nodes were counted by their own goroutine, which runs late on a busy machine, not when they were accepted. And a crowd that connects again and again let each connection of a full listener live for some 30 to 60 ms, less than a busy node needs to read a request that has arrived.

Change: connections of nodes are counted when they are accepted, and an eighth of their number may be closed and not have ended, a sixteenth at the other listeners. A connection gives way only after 100 ms without a request; the listener waits for that with the next one.

--- a/edge/server.go
+++ b/edge/server.go
@@ -143,13 +143,14 @@
 	go c.serve()
 }
 
-// addConn adds a connection, and reports false if there is no place for it.
+// addConn adds a connection, and reports false if there is no place for it. If there are too many, it
+// waits until one may be closed in its place.
 func (s *Server) addConn(c *serverConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if limit := s.opts.MaxConns; limit > 0 && len(s.conns) >= limit {
 		s.logFull()
-		if len(s.conns) >= limit+max(limit/evictedFraction, 1) || !s.evict() {
+		if !s.evictInTime() || len(s.conns) >= limit+max(limit/evictedFraction, 1) {
 			return false
 		}
 	}
@@ -157,6 +158,34 @@
 	return true
 }
 
+const (
+	// minConnWait is how long a connection has at least to send a request, however many clients
+	// connect: a node without processor time may take that long to read what has arrived.
+	minConnWait = 100 * time.Millisecond
+	// evictInterval is the time between two looks for a connection that has waited that long.
+	evictInterval = 5 * time.Millisecond
+)
+
+// evictInTime closes a connection on which no request is in flight, and reports whether there was any
+// that has waited for minConnWait, or comes to. The caller must hold mu, which is released meanwhile.
+func (s *Server) evictInTime() bool {
+	for end := time.Now().Add(minConnWait); ; {
+		now := time.Now()
+		if s.evict(now.Add(-minConnWait)) {
+			return true
+		}
+		if now.After(end) || s.stopping {
+			return false
+		}
+		s.mu.Unlock()
+		time.Sleep(evictInterval)
+		s.mu.Lock()
+		if len(s.conns) < s.opts.MaxConns {
+			return true
+		}
+	}
+}
+
 // logFullInterval is the time between two lines of fullLog.
 const logFullInterval = time.Second
 
@@ -171,20 +200,21 @@
 
 // evictedFraction is the part of MaxConns, as its divisor, by which connections that have been
 // closed, but have not ended, may exceed it.
-const evictedFraction = 8
+const evictedFraction = 16
 
 // evictSample is the number of connections among which evict chooses.
 const evictSample = 16
 
-// evict closes one of a few connections on which no request is in flight, and reports whether there
-// was any. It prefers those on which a head is arriving, since a caller that behaves sends it at
-// once, and of those the one that has taken longest. The caller must hold mu.
-func (s *Server) evict() bool {
+// evict closes one of a few connections on which no request has been in flight since cutoff, and reports
+// whether there was any. It prefers those on which a head is arriving, since a caller that behaves sends
+// it at once, and of those the one that has taken longest. The caller must hold mu.
+func (s *Server) evict(cutoff time.Time) bool {
 	var victim *serverConn
 	var worst waitState
 	n := 0
 	for c := range s.conns {
-		if state, waits := c.waitState(); waits && (victim == nil || state.isWorse(worst)) {
+		state, waits := c.waitState()
+		if waits && state.since.Before(cutoff) && (victim == nil || state.isWorse(worst)) {
 			victim, worst = c, state
 		}
 		if n++; n >= evictSample && victim != nil {
--- a/plugin/peer/server.go
+++ b/plugin/peer/server.go
@@ -84,6 +84,10 @@
 			time.Sleep(p.cfg.CheckInterval)
 			continue
 		}
+		if !p.addStranger(nc) {
+			nc.Close()
+			continue
+		}
 		go p.serveConn(nc)
 	}
 }
@@ -92,10 +96,6 @@
 	if err := sockopt.Configure(nc, p.cfg.UnackedTimeout); err != nil {
 		p.k.Log.Warn("peer_connection_unguarded", zap.Stringer("remote", nc.RemoteAddr()), zap.Error(err))
 	}
-	if !p.addStranger(nc) {
-		nc.Close()
-		return
-	}
 	defer p.removeStranger(nc)
 	mux, err := yamux.Server(&conn{Conn: nc}, p.cfg.yamuxConfig(p.k.Log))
 	if err != nil {
@@ -132,14 +132,17 @@
 	closed bool // to make room; it is listed until it has ended
 }
 
+// closedStrangersFraction is the part of maxStrangers, as its divisor, by which connections that have
+// been closed, but have not ended, may exceed it.
+const closedStrangersFraction = 8
+
 // addStranger bounds the time of a new connection until its first stream, and closes the oldest
-// of such connections if there are more than maxStrangers. It reports false if there are twice as
-// many.
+// of such connections if there are more than maxStrangers. It reports false if there is no place.
 func (p *peer) addStranger(nc net.Conn) bool {
 	nc.SetReadDeadline(time.Now().Add(strangerTimeout))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.strangers) >= 2*p.maxStrangers {
+	if len(p.strangers) >= p.maxStrangers+max(p.maxStrangers/closedStrangersFraction, 1) {
 		return false
 	}
 	p.strangers = append(p.strangers, &stranger{Conn: nc})
