--- a/edge/head_test.go
+++ b/edge/head_test.go
@@ -144,6 +144,7 @@
 	stalled, stalledReader := dial(t, addr)
 	io.WriteString(stalled, "GET")
 	waitForReceiving(t, s)
+	time.Sleep(2 * minConnWait) // both may give way by then
 
 	for _, victim := range []struct {
 		name string
