Quarantine a request only for the crash of a later run

Cause: each crashed start of a backend server counted against the requests that it ran. Those that had begun before anybody suspected the request counted like a repetition, and the third crash quarantined it for good. An answer of a run that was still on its way did not end that.

Ruled out: the permits of suspects (all five runs had begun before the first crash); the order of crash and answer by clocks of several nodes (messages carry ages; only their rounding could revive a cleared crash).

Change: at most two crashes of earlier runs count; the last of the three must be that of a run that began when the request was suspect. It is decided a second later, and excused once if a server that did not run the request crashed at the same moment. A complete answer ends a quarantine everywhere and deletes its record.

--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -268,12 +268,13 @@
 	// Crashed records that a start of the backend server beside this node crashed while
 	// it executed the requests. It returns once the other nodes know, or after a short
 	// time.
-	Crashed(start string, requests []quarantine.Fingerprint)
+	Crashed(start string, runs []quarantine.Run)
 }
 
 // Permit allows an attempt to run a suspect request. It is zero for other requests.
 type Permit struct {
 	Holder string // attempt that holds it
+	Alone  bool   // no other attempt has one
 }
 
 // Quotas bounds the requests of teams over all nodes. Implementations are safe for
--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -19,9 +19,13 @@
 	// holds.
 	pollInterval = 50 * time.Millisecond
 
-	// retryAfterQuarantine is told to callers of a quarantined request. Only an operator
-	// ends a quarantine.
-	retryAfterQuarantine = time.Minute
+	// maxRetryAfterQuarantine bounds what callers of a quarantined request are told. Its
+	// quarantine may end before its next retrial, by an answer or by an operator.
+	maxRetryAfterQuarantine = time.Minute
+
+	// retrialPoll is the least time between two questions of a node for the retrial of a
+	// quarantined request.
+	retrialPoll = time.Second
 
 	// retryAfterSuspect is told to callers of a suspect request whose permit did not
 	// become free in time.
@@ -80,9 +84,9 @@
 		case quarantine.Unsuspected:
 			return kernel.Permit{}, call.Result{}
 		case quarantine.Granted:
-			return kernel.Permit{Holder: attempt}, call.Result{}
+			return kernel.Permit{Holder: attempt, Alone: v.alone}, call.Result{}
 		case quarantine.Quarantined:
-			return kernel.Permit{}, q.refuse(call.ReasonQuarantined, retryAfterQuarantine)
+			return kernel.Permit{}, q.refuse(call.ReasonQuarantined, min(max(v.Wait, retrialPoll), maxRetryAfterQuarantine))
 		}
 		wait := max(v.Wait, pollInterval)
 		if !time.Now().Add(wait).Before(deadline) {
@@ -97,25 +101,37 @@
 	return kernel.Permit{}, call.Result{}
 }
 
+// verdict is a verdict with who gave it.
+type verdict struct {
+	quarantine.Verdict
+	alone bool // granted by a coordinator, which grants one permit at a time
+}
+
 // decide returns the verdict about a request: that of its coordinator if it is suspect
-// here.
-func (q *plugin) decide(ctx context.Context, f quarantine.Fingerprint, attempt string) quarantine.Verdict {
-	crashes, quarantined := 0, false
-	q.update(func(t *quarantine.Table) { crashes, quarantined = len(t.Known(f)), t.Quarantined(f) })
+// here, or quarantined and due for a retrial.
+func (q *plugin) decide(ctx context.Context, f quarantine.Fingerprint, attempt string) verdict {
+	asked := time.Now()
+	crashes, quarantined, wait := 0, false, time.Duration(0)
+	q.update(func(t *quarantine.Table) {
+		crashes, quarantined, wait = len(t.Known(f)), t.Quarantined(f), t.RetrialIn(f, asked)
+	})
 	switch {
-	case quarantined:
-		return quarantine.Verdict{Kind: quarantine.Quarantined}
-	case crashes == 0:
-		return quarantine.Verdict{Kind: quarantine.Unsuspected}
+	case quarantined && wait > 0:
+		return verdict{Verdict: quarantine.Verdict{Kind: quarantine.Quarantined, Wait: wait}}
+	case !quarantined && crashes == 0:
+		return verdict{Verdict: quarantine.Verdict{Kind: quarantine.Unsuspected}}
+	}
+	v := q.acquire(ctx, f, attempt, quarantined || crashes >= q.cfg.CrashLimit-1)
+	if quarantined && v.Kind == quarantine.Busy {
+		v.Kind = quarantine.Quarantined
 	}
-	asked := time.Now()
-	v := q.acquire(ctx, f, attempt, crashes)
 	q.update(func(t *quarantine.Table) {
 		switch v.Kind {
 		case quarantine.Unsuspected: // cleared meanwhile
 			t.Clear(f, asked)
 		case quarantine.Quarantined:
 			t.Quarantine(f, asked)
+			t.SetRetrial(f, asked, max(v.Wait, retrialPoll))
 		}
 	})
 	return v
@@ -132,35 +148,54 @@
 	if !q.active.Load() {
 		return
 	}
-	suspect := false
-	q.update(func(t *quarantine.Table) {
-		if suspect = len(t.Known(f)) > 0; suspect && complete {
-			t.Clear(f, time.Now())
-		}
-	})
-	if suspect && complete || p.Holder != "" {
+	doubtful := false
+	q.update(func(t *quarantine.Table) { doubtful = len(t.Known(f)) > 0 || t.Quarantined(f) })
+	if doubtful && complete {
+		q.clear(f)
+	}
+	if doubtful && complete || p.Holder != "" {
 		go q.returnPermit(f, p, complete)
 	}
 }
 
+// clear clears a request after a complete answer. If that ends a quarantine, the node that
+// coordinates the request ends it everywhere.
+func (q *plugin) clear(f quarantine.Fingerprint) {
+	ended := false
+	q.update(func(t *quarantine.Table) { ended = t.Clear(f, time.Now()) })
+	if ended && q.coordinates(f) {
+		q.log.Warn("quarantine_ended", zap.Stringer("fingerprint", f))
+		go q.deleteRecord(f)
+		go q.broadcastClear(f)
+	}
+}
+
 // Crashed implements kernel.Quarantine.
-func (q *plugin) Crashed(start string, requests []quarantine.Fingerprint) {
-	q.recordCrash(start, requests)
-	q.broadcastCrash(start, requests)
+func (q *plugin) Crashed(start string, runs []quarantine.Run) {
+	q.recordCrash(start, runs)
+	q.broadcastCrash(start, runs)
 }
 
-// recordCrash records a crash in the table, and quarantines the requests that this node
-// coordinates and that have crashed enough servers. Other nodes ask first: only the
-// coordinator hears of every complete answer.
-func (q *plugin) recordCrash(start string, requests []quarantine.Fingerprint) {
+// recordCrash records a crash in the table, and settles later whether the requests that
+// this node coordinates and that have crashed enough servers are quarantined. Other nodes
+// ask first: only the coordinator hears of every complete answer.
+func (q *plugin) recordCrash(start string, runs []quarantine.Run) {
 	var due []quarantine.Fingerprint
 	now := time.Now()
-	q.update(func(t *quarantine.Table) { due = t.RecordCrash(start, requests, now) })
+	q.update(func(t *quarantine.Table) { due = t.RecordCrash(start, runs, now) })
 	for _, f := range due {
-		if q.coordinators(f)[0].ID != q.k.NodeID {
+		if !q.coordinates(f) {
 			continue
 		}
-		q.update(func(t *quarantine.Table) { t.Quarantine(f, now) })
+		time.AfterFunc(q.cfg.ReportDelay, func() { q.settle(f) })
+	}
+}
+
+// settle announces the quarantine of a request if there is reason for one.
+func (q *plugin) settle(f quarantine.Fingerprint) {
+	due := false
+	q.update(func(t *quarantine.Table) { due = t.Settle(f, time.Now()) })
+	if due {
 		q.announceQuarantine(f)
 	}
 }
--- a/plugin/quarantine/spread.go
+++ b/plugin/quarantine/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,10 @@
 	reportTimeout = time.Second
 	reportWait    = 100 * time.Millisecond
 
+	// unknownAge is the age of a run in a report of a node that does not tell it. It is so
+	// long that the run counts as one from before the request was suspect.
+	unknownAge = time.Hour
+
 	// coordinatorCount is the number of nodes that are asked for a permit, one after the
 	// other. The second one is asked if the first does not answer.
 	coordinatorCount = 2
@@ -34,10 +39,14 @@
 // broadcastCrash tells all other nodes of a crash. It returns once they have answered or
 // after reportWait, so that a caller which is told of the failure afterwards and tries
 // again meets nodes that know.
-func (q *plugin) broadcastCrash(start string, requests []quarantine.Fingerprint) {
+func (q *plugin) broadcastCrash(start string, runs []quarantine.Run) {
 	report := &wire.CrashReport{Start: start}
-	for _, f := range requests {
-		report.Fingerprints = append(report.Fingerprints, uint64(f))
+	for _, r := range runs {
+		report.Fingerprints = append(report.Fingerprints, uint64(r.Fingerprint))
+		report.AgeMs = append(report.AgeMs, uint32(r.Age.Milliseconds()))
+		if r.Alone {
+			report.Alone = append(report.Alone, uint64(r.Fingerprint))
+		}
 	}
 	payload := wire.Encode(report)
 	var wg sync.WaitGroup
@@ -71,32 +80,54 @@
 	if err := wire.Decode(payload, &report); err != nil {
 		return nil, err
 	}
-	requests := make([]quarantine.Fingerprint, 0, len(report.GetFingerprints()))
-	for _, f := range report.GetFingerprints() {
-		requests = append(requests, quarantine.Fingerprint(f))
+	runs := make([]quarantine.Run, 0, len(report.GetFingerprints()))
+	for i, f := range report.GetFingerprints() {
+		r := quarantine.Run{Fingerprint: quarantine.Fingerprint(f), Alone: slices.Contains(report.GetAlone(), f), Age: unknownAge}
+		if i < len(report.GetAgeMs()) {
+			r.Age = time.Duration(report.GetAgeMs()[i]) * time.Millisecond
+		}
+		runs = append(runs, r)
 	}
-	q.recordCrash(report.GetStart(), requests)
+	q.recordCrash(report.GetStart(), runs)
 	return wire.Encode(&wire.CrashReply{}), nil
 }
 
+// broadcastClear tells all other nodes that the quarantine of a request has ended.
+func (q *plugin) broadcastClear(f quarantine.Fingerprint) {
+	payload := wire.Encode(&wire.PermitRequest{Fingerprint: uint64(f), Return: true, Clear: true})
+	for _, m := range q.k.Fleet.All() {
+		if m.ID != q.k.NodeID {
+			go q.sendClear(m, f, payload)
+		}
+	}
+}
+
+func (q *plugin) sendClear(m membership.Member, f quarantine.Fingerprint, payload []byte) {
+	ctx, cancel := context.WithTimeout(q.ctx, reportTimeout)
+	defer cancel()
+	if _, err := q.k.Transport.Exchange(ctx, m.Addr, permitTopic, payload); err != nil {
+		q.log.Info("quarantine_end_lost", zap.String("member", m.ID), zap.Stringer("fingerprint", f), zap.Error(err))
+	}
+}
+
 // acquire asks the coordinator of a suspect request, on which all nodes agree as far as
 // they know the same members, whether it may run. If no coordinator answers, a request
-// that may be quarantined by its next crash waits, and any other runs.
-func (q *plugin) acquire(ctx context.Context, f quarantine.Fingerprint, attempt string, crashes int) quarantine.Verdict {
+// that must run alone, because its next crash may quarantine it, waits; any other runs.
+func (q *plugin) acquire(ctx context.Context, f quarantine.Fingerprint, attempt string, mustRunAlone bool) verdict {
 	ctx, cancel := context.WithTimeout(ctx, coordinatorCount*permitTimeout)
 	defer cancel()
 	for _, m := range q.coordinators(f) {
 		if m.ID == q.k.NodeID {
-			return q.acquireHere(f, attempt)
+			return verdict{q.acquireHere(f, attempt), true}
 		}
 		if v, err := q.ask(ctx, m, f, attempt); err == nil {
-			return v
+			return verdict{v, true}
 		}
 	}
-	if crashes >= q.cfg.CrashLimit-1 {
-		return quarantine.Verdict{Kind: quarantine.Busy}
+	if mustRunAlone {
+		return verdict{Verdict: quarantine.Verdict{Kind: quarantine.Busy}}
 	}
-	return quarantine.Verdict{Kind: quarantine.Granted}
+	return verdict{Verdict: quarantine.Verdict{Kind: quarantine.Granted}}
 }
 
 // acquireHere decides on a request that this node coordinates.
@@ -113,6 +144,11 @@
 	return v
 }
 
+// coordinates reports whether this node is the first one that is asked about a request.
+func (q *plugin) coordinates(f quarantine.Fingerprint) bool {
+	return q.coordinators(f)[0].ID == q.k.NodeID
+}
+
 // coordinators returns the nodes that coordinate a request, in the order in which they
 // are asked.
 func (q *plugin) coordinators(f quarantine.Fingerprint) []membership.Member {
@@ -137,7 +173,7 @@
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	var reply wire.PermitReply
-	req := &wire.PermitRequest{Fingerprint: uint64(f), Holder: attempt, Crashes: q.knownCrashes(f)}
+	req := &wire.PermitRequest{Fingerprint: uint64(f), Holder: attempt, Crashes: q.knownCrashes(f), Quarantined: q.isQuarantined(f)}
 	payload, err := q.k.Transport.Exchange(ctx, m.Addr, permitTopic, wire.Encode(req))
 	if err == nil {
 		err = wire.Decode(payload, &reply)
@@ -157,19 +193,25 @@
 	now := time.Now()
 	q.update(func(t *quarantine.Table) {
 		for _, c := range t.Known(f) {
-			list = append(list, &wire.Crash{Start: c.Start, AgeMs: uint32(max(now.Sub(c.At), 0).Milliseconds())})
+			list = append(list, &wire.Crash{Start: c.Start, AgeMs: ageMs(now.Sub(c.At)), Repeated: c.Repeated})
 		}
 	})
 	return list
 }
 
+// ageMs returns an age for a message, rounded up so that a crash from before an answer
+// does not seem to have come after it.
+func ageMs(age time.Duration) uint32 {
+	return uint32((max(age, 0) + time.Millisecond - 1).Milliseconds())
+}
+
 // merge adds the crashes that another node knows of. A node that was started or joined
 // lately, like a coordinator that has just become one, has missed reports.
 func (q *plugin) merge(f quarantine.Fingerprint, list []*wire.Crash) {
 	now := time.Now()
 	var crashes []quarantine.Crash
 	for _, c := range list {
-		crashes = append(crashes, quarantine.Crash{Start: c.GetStart(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond)})
+		crashes = append(crashes, quarantine.Crash{Start: c.GetStart(), At: now.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond), Repeated: c.GetRepeated()})
 	}
 	q.update(func(t *quarantine.Table) { t.Merge(f, crashes) })
 }
@@ -194,13 +236,11 @@
 // takeBack takes a permit back that this node may have granted.
 func (q *plugin) takeBack(req *wire.PermitRequest) {
 	f := quarantine.Fingerprint(req.GetFingerprint())
-	q.update(func(t *quarantine.Table) {
-		if req.GetClear() {
-			t.Clear(f, time.Now())
-			return
-		}
-		t.Return(f, req.GetHolder())
-	})
+	if req.GetClear() {
+		q.clear(f)
+		return
+	}
+	q.update(func(t *quarantine.Table) { t.Return(f, req.GetHolder()) })
 }
 
 // servePermit handles a PermitRequest.
@@ -214,6 +254,9 @@
 		return wire.Encode(&wire.PermitReply{}), nil
 	}
 	f := quarantine.Fingerprint(req.GetFingerprint())
+	if req.GetQuarantined() {
+		q.update(func(t *quarantine.Table) { t.QuarantineDue(f, time.Now()) })
+	}
 	q.merge(f, req.GetCrashes())
 	v := q.acquireHere(f, req.GetHolder())
 	return wire.Encode(&wire.PermitReply{Verdict: verdictToWire[v.Kind], WaitMs: uint32(v.Wait.Milliseconds()), Crashes: q.knownCrashes(f)}), nil
--- a/plugin/target/crash.go
+++ b/plugin/target/crash.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,7 +38,7 @@
 		return c.crashed
 	}
 	t := a.t
-	running := t.runningFingerprints(a.start)
+	running := t.runsAt(a.start)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	c.crashed = t.k.Backend.RefusesConnections(ctx, a.backend.Address)
@@ -77,16 +79,21 @@
 	}
 }
 
-// runningFingerprints returns the fingerprints of the calls that a start of the backend
-// server is executing.
-func (t *target) runningFingerprints(start membership.BackendStart) []quarantine.Fingerprint {
+// runsAt returns the requests that a start of the backend server is executing. Of several
+// runs of a request the oldest counts, which is alone only if all of them have permits.
+func (t *target) runsAt(start membership.BackendStart) []quarantine.Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []quarantine.Fingerprint
+	now := time.Now()
+	runs := map[quarantine.Fingerprint]quarantine.Run{}
 	for _, e := range t.executions {
-		if e.start == start {
-			list = append(list, e.fingerprint)
+		if e.start != start {
+			continue
+		}
+		r, seen := runs[e.fingerprint]
+		runs[e.fingerprint] = quarantine.Run{
+			Fingerprint: e.fingerprint, Alone: e.alone && (r.Alone || !seen), Age: max(r.Age, now.Sub(e.startedAt)),
 		}
 	}
-	return list
+	return slices.Collect(maps.Values(runs))
 }
--- a/plugin/target/serve.go
+++ b/plugin/target/serve.go
@@ -34,6 +34,7 @@
 	backend     kernel.BackendInfo
 	start       membership.BackendStart // of backend
 	fingerprint quarantine.Fingerprint
+	permit      kernel.Permit
 	startedAt   time.Time // when the call was passed to the backend server
 	execution   *kernel.Execution
 }
@@ -68,6 +69,7 @@
 	if refusal.Outcome == call.Refused {
 		return refusal
 	}
+	a.permit = permit
 	res, admitted := a.admit(ctx, time.Now())
 	if admitted {
 		res = a.execute(ctx, w)
@@ -244,7 +246,7 @@
 		},
 	}
 	a.execution = exec
-	t.addRunning(token, &running{Execution: exec, start: a.start, fingerprint: a.fingerprint})
+	t.addRunning(token, &running{Execution: exec, start: a.start, fingerprint: a.fingerprint, startedAt: a.startedAt, alone: a.permit.Alone})
 	return token, true
 }
 
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -64,6 +64,8 @@
 	*kernel.Execution
 	start       membership.BackendStart
 	fingerprint quarantine.Fingerprint
+	startedAt   time.Time
+	alone       bool     // it has a permit to run as the only run of its request
 	sameRequest *running // execution that began before this one for the same request id, nil if none
 }
 
