Reject reports of another service than that of the node

Cause: nothing asked whether a report is of this node's service, so the report with the latest birth was that of the backend server. And a start that was displaced so never came back, since its own reports counted as outdated even after the displacing one had lapsed.

A report of the live instance that drains, and one without any order before the first report of the backend server, did the same.

Change: the target compares the service with that of the settings. Another service is rejected while a backend server of the own one is in use, and always if no route leads to it; one that is named may follow at the address of a backend server that is gone, and gives way to the own service. When a start lapses, one that it has displaced and that still reports serves again. The project's own interface compares announcements in the same way.

--- a/kernel/roles.go
+++ b/kernel/roles.go
@@ -184,8 +184,9 @@
 	// Report processes a status report of the backend server; reports are ordered by
 	// their sequence number. If the report ends a start of the backend server, Report
 	// returns once the end is recorded in the store, or could not be recorded in
-	// time.
-	Report(ctx context.Context, r lifecycle.Report)
+	// time. A report that cannot come from the backend server beside this node changes
+	// nothing; the error is of kind errs.Invalid.
+	Report(ctx context.Context, r lifecycle.Report) error
 	// BackendDeparted processes the notice that a start of the backend server is
 	// leaving. It returns under the same condition as Report.
 	BackendDeparted(ctx context.Context, start membership.BackendStart)
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -15,6 +15,10 @@
 	Slots    int           // calls that the backend server executes concurrently, 0 if not reported
 	Draining bool          // accepts no new calls
 	Cold     time.Duration // how much longer it is slow after its start, 0 if not reported
+
+	// Foreign says that the report names another service than the settings of the node. Such a
+	// backend server may only take the place of one that is gone.
+	Foreign bool
 }
 
 // sameStart reports whether both reports come from the same start of a backend
@@ -43,8 +47,12 @@
 	current   Report
 	known     bool // a report or a departure has been recorded
 	ended     bool // the current start accepts no more calls
+	lapsed    bool // the current start has sent no report in time
 	lastHeard time.Time
 
+	// The last report of a start that an outdated report has displaced, while lapsed.
+	displaced Report
+
 	// All starts of an instance up to this time, in milliseconds since the Unix epoch, have
 	// ended. Instances are kept when another one has replaced them, because their reports
 	// may still arrive.
@@ -55,20 +63,25 @@
 // at one address while a report is on its way.
 const maxEndedInstances = 64
 
-// Apply processes a report and returns its effect. An outdated report has none.
+// Belongs reports whether a report may be one of the backend server beside the node, whose
+// settings name the service own, "" for any. A backend server of another service may take
+// the place of one that is gone, if routes lead to that service (named).
+func (t *Tracker) Belongs(r *Report, own string, named bool) bool {
+	return own == "" || r.Service == own || named && !t.Serving()
+}
+
+// Apply processes a report and returns its effect. An outdated report has none, unless the
+// current start has lapsed and the one that it has displaced goes on reporting.
 func (t *Tracker) Apply(r Report, now time.Time) Change {
 	startEnded := r.Born != 0 && r.Born <= t.endedBorn[r.Instance]
 	switch {
-	case !t.known: // the first report is recorded
-	case r.sameStart(&t.current):
-		if r.Sequence <= t.current.Sequence {
-			return Stale
-		}
-	case t.older(&r):
+	case r.Foreign && !t.current.Foreign && (t.Serving() || r.Draining):
 		return Stale
+	case !t.known: // the first report is recorded
 	case startEnded && r.Instance != t.current.Instance:
 		return Stale // another backend server has replaced the one that left
-	case startEnded: // any report is recorded; a start that has ended stays ended
+	case t.outdated(&r) && (startEnded || !t.goesOn(&r)):
+		return Stale
 	}
 	newStart := !t.known || !startEnded && !r.sameStart(&t.current)
 	ended := t.ended && !newStart // a start that has drained never accepts calls again
@@ -77,6 +90,7 @@
 	}
 	t.known = true
 	t.current = r
+	t.lapsed, t.displaced = false, Report{}
 	t.lastHeard = now
 	t.ended = ended || r.Draining
 	switch {
@@ -90,6 +104,33 @@
 	return Renewed
 }
 
+// outdated reports whether r comes from an earlier start than the current one, or is an
+// earlier report of it. A start of the service of the node is newer than any foreign one.
+func (t *Tracker) outdated(r *Report) bool {
+	switch {
+	case t.current.Foreign && !r.Foreign:
+		return false
+	case r.sameStart(&t.current):
+		return r.Sequence <= t.current.Sequence
+	}
+	return t.older(r)
+}
+
+// goesOn reports whether an outdated report is at least the second one of its start since
+// the current one has lapsed. A single one may have been held back by the network.
+func (t *Tracker) goesOn(r *Report) bool {
+	if !t.lapsed {
+		return false
+	}
+	last := t.displaced
+	t.displaced = *r
+	return last.sameStart(r) && r.Sequence > last.Sequence
+}
+
+// Lapse records that the current start has sent no report in time. It serves again with its
+// next report.
+func (t *Tracker) Lapse() { t.lapsed = true }
+
 // older reports whether r, a report of another start, comes from an earlier start
 // than the current one. If the time of either start is unknown, the latest report
 // to arrive wins.
@@ -150,7 +191,7 @@
 }
 
 // Serving reports whether the backend server accepts calls.
-func (t *Tracker) Serving() bool { return t.known && !t.ended }
+func (t *Tracker) Serving() bool { return t.known && !t.ended && !t.lapsed }
 
 // Ended reports whether the current start accepts no more calls.
 func (t *Tracker) Ended() bool { return t.known && t.ended }
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -64,6 +64,81 @@
 	}
 }
 
+// TestReportsOfAnotherServiceTakeNoPlace sends reports that name another service than the
+// settings of the node. They may only take the place of a backend server that is gone, and one
+// of the service of the node takes it back, whenever it was born.
+func TestReportsOfAnotherServiceTakeNoPlace(t *testing.T) {
+	own := func(sequence int64) Report { return Report{Instance: "a", Born: 5, Sequence: sequence} }
+	foreign := func(instance string, born int64, draining bool) Report {
+		return Report{Instance: instance, Born: born, Sequence: 999_999, Draining: draining, Foreign: true}
+	}
+	var tr Tracker
+	if got := tr.Apply(foreign("b", 1, true), now); got != Stale || tr.Ended() {
+		t.Errorf("a drain before anything is known: %v", got)
+	}
+	tr.Apply(own(1), now)
+	for i, r := range []Report{foreign("b", 9, false), foreign("b", 1<<41, false), foreign("b", 9, true), foreign("a", 5, true), foreign("a", 9, false), foreign("b", 0, false)} {
+		if got := tr.Apply(r, now); got != Stale || tr.Current() != own(1) {
+			t.Errorf("report %d: %v, current %+v", i, got, tr.Current())
+		}
+	}
+	if got := tr.Apply(own(2), now); got != Renewed {
+		t.Errorf("next report: %v", got)
+	}
+	tr.Leave("a", 5, now)
+	if got := tr.Apply(foreign("b", 9, true), now); got != Stale {
+		t.Errorf("drain after the departure: %v", got)
+	}
+	if got := tr.Apply(foreign("b", 9, false), now); got != Started {
+		t.Errorf("after the departure: %v", got)
+	}
+	if got := tr.Apply(own(3), now); got != Stale {
+		t.Errorf("late report of the start that left: %v", got)
+	}
+	if got := tr.Apply(Report{Instance: "c", Born: 7, Sequence: 1}, now); got != Started || !tr.Serving() {
+		t.Errorf("a start of the service of the node: %v", got)
+	}
+}
+
+// TestDisplacedStartServesAgain lets a start with a later birth, or a report with a high
+// sequence number, displace a live start and then lapse. The live one must be used again once
+// it goes on reporting; a single report may have been held back by the network.
+func TestDisplacedStartServesAgain(t *testing.T) {
+	live := func(sequence int64) Report { return Report{Instance: "a", Born: 5, Sequence: sequence} }
+	for name, r := range map[string]Report{
+		"later birth":           {Instance: "b", Born: 1 << 41, Sequence: 1},
+		"later, same instance":  {Instance: "a", Born: 1 << 41, Sequence: 1},
+		"high sequence number":  {Instance: "a", Born: 5, Sequence: 999_999},
+		"later birth, drained:": {Instance: "b", Born: 1 << 41, Sequence: 1, Draining: true},
+	} {
+		var tr Tracker
+		tr.Apply(live(1), now)
+		tr.Apply(r, now)
+		if got := tr.Apply(live(2), now); got != Stale {
+			t.Errorf("%s: before the lapse: %v", name, got)
+		}
+		if r.Draining {
+			continue // a backend server that was replaced may drain
+		}
+		tr.Lapse()
+		if got := tr.Apply(live(3), now); got != Stale || tr.Serving() {
+			t.Errorf("%s: first report after the lapse: %v", name, got)
+		}
+		if got := tr.Apply(live(4), now); got == Stale || !tr.Serving() {
+			t.Errorf("%s: second report after the lapse: %v", name, got)
+		}
+	}
+	var tr Tracker
+	tr.Apply(live(1), now)
+	tr.Apply(Report{Instance: "a", Born: 5, Sequence: 2, Draining: true}, now)
+	tr.Apply(Report{Instance: "b", Born: 9, Sequence: 1}, now)
+	tr.Lapse()
+	tr.Apply(live(1), now)
+	if got := tr.Apply(live(2), now); got != Stale || tr.Serving() {
+		t.Errorf("a start that has drained: %v", got)
+	}
+}
+
 func TestSilentAfterLimit(t *testing.T) {
 	var tr Tracker
 	tr.Apply(Report{Instance: "a", Sequence: 1}, now)
--- a/plugin/entry/entry.go
+++ b/plugin/entry/entry.go
@@ -105,6 +105,10 @@
 		http.Error(w, fmt.Sprintf("the announcement needs 0 to %d slots", membership.MaxSlots), http.StatusBadRequest)
 		return
 	}
+	if own := e.k.LocalService(); own != "" && b.Service != own {
+		http.Error(w, fmt.Sprintf("the backend server of this node is of service %q by its settings; announce to the node of its VM, or correct the settings", own), http.StatusBadRequest)
+		return
+	}
 	if e.k.Drain.Leaving() {
 		http.Error(w, "this node is leaving; announce again once it was replaced", http.StatusServiceUnavailable)
 		return
--- a/plugin/entry/entry_test.go
+++ b/plugin/entry/entry_test.go
@@ -51,3 +51,28 @@
 		t.Errorf("announced %+v", target.announced)
 	}
 }
+
+// TestAnnouncementOfAnotherServiceIsRejected guards against a live backend server that is no
+// longer used because of the announcement of one for another VM.
+func TestAnnouncementOfAnotherServiceIsRejected(t *testing.T) {
+	s := &settings.Settings{}
+	s.Node.Service = "rates"
+	k, err := kernel.New(s, "a", zap.NewNop(), metrics.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := &announcedTarget{}
+	k.Target = target
+	e := &entry{k: k, log: zap.NewNop()}
+	for service, want := range map[string]int{"rates": http.StatusOK, "stock": http.StatusBadRequest} {
+		w := httptest.NewRecorder()
+		body := `{"service":"` + service + `","address":"10.0.0.1:8080","slots":4}`
+		e.serveAnnounce(w, httptest.NewRequest(http.MethodPut, BackendPath, strings.NewReader(body)))
+		if w.Code != want {
+			t.Errorf("%s: status %d, want %d", service, w.Code, want)
+		}
+	}
+	if len(target.announced) != 1 || target.announced[0].Service != "rates" {
+		t.Errorf("announced %+v", target.announced)
+	}
+}
--- a/plugin/target/target.go
+++ b/plugin/target/target.go
@@ -12,6 +12,7 @@
 
 	"github.com/dogwoodhatch/dogwoodhatch/admission"
 	"github.com/dogwoodhatch/dogwoodhatch/call"
+	"github.com/dogwoodhatch/dogwoodhatch/errs"
 	"github.com/dogwoodhatch/dogwoodhatch/execution"
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/lifecycle"
@@ -196,6 +197,7 @@
 	defer t.mu.Unlock()
 	t.lapsing = false
 	if now := time.Now(); t.announcementOverdue(now) {
+		t.tracker.Lapse()
 		t.log.Warn("backend_lapsed", zap.String("service", t.backend.Service), zap.String("addr", t.backend.Address))
 		t.stopServing(now)
 	}
@@ -215,15 +217,32 @@
 // Report implements kernel.Target. A report to a process that has just started may be older
 // than an end that an earlier process has acknowledged, so it waits until that is known,
 // unless it tells of an end itself.
-func (t *target) Report(ctx context.Context, r lifecycle.Report) {
+func (t *target) Report(ctx context.Context, r lifecycle.Report) error {
+	own := t.k.LocalService()
+	r.Foreign = own != "" && r.Service != own
+	if r.Foreign && !t.k.Routes.Current().Names(r.Service) {
+		return errForeign(&r, own)
+	}
 	if !r.Draining {
 		waitCtx, cancel := context.WithTimeout(ctx, awaitEndedTimeout)
 		t.k.Fleet.AwaitEnded(waitCtx)
 		cancel()
 	}
-	if change := t.applyReport(r, time.Now()); r.Draining && change != lifecycle.Stale {
+	change := t.applyReport(r, time.Now())
+	if r.Foreign && change == lifecycle.Stale {
+		return errForeign(&r, own)
+	}
+	if r.Draining && change != lifecycle.Stale {
 		t.recordEnd(ctx)
 	}
+	return nil
+}
+
+// errForeign returns the error about a report that cannot come from the backend server beside
+// this node.
+func errForeign(r *lifecycle.Report, own string) error {
+	return errs.New(errs.Invalid, "report to the node on the VM of the backend server, or correct the service in the settings of the node",
+		"instance %q is of service %q, the backend server of this node of %q", r.Instance, r.Service, own)
 }
 
 func (t *target) applyReport(r lifecycle.Report, now time.Time) lifecycle.Change {
--- a/route/route.go
+++ b/route/route.go
@@ -110,6 +110,21 @@
 // Len returns the number of rules.
 func (t *Table) Len() int { return t.ruleCount }
 
+// Names reports whether a rule leads to a service. A nil table has no rules.
+func (t *Table) Names(service string) bool {
+	if t == nil {
+		return false
+	}
+	for _, rules := range t.hosts {
+		for _, r := range rules {
+			if slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Lookup returns the rule of the host with the longest prefix of the path, or nil if
 // no rule matches. It ignores the port and the case of host.
 func (t *Table) Lookup(host, path string) *Rule {
