Take a member record only under the key of its VM

Callers would see: a record of another writer under the key of a node, with the start of the live backend server as the ended one, takes that out of use until it starts again.

Cause: membership.Decode did not compare the ID of the member with the VM in the key, although a process makes its ID from that.

Change: a record whose ID does not begin with the VM of its key is rejected, and at the own key written again.

--- a/membership/member.go
+++ b/membership/member.go
@@ -100,8 +100,9 @@
 		ID: record.GetId(), Addr: record.GetAddr(), Region: record.GetRegion(), Domain: record.GetDomain(), Service: record.GetService(),
 		Slots: int(record.GetSlots()), Ended: BackendStart{record.GetEndedInstance(), record.GetEndedBorn()}, State: Alive, Revision: revision,
 	}
-	if !strings.HasPrefix(key, Prefix) || m.ID == "" {
-		return Member{}, errs.New(errs.Invalid, "check which process writes keys below "+Prefix, "record %q has no member ID or its key lacks the prefix", key)
+	vm, ok := strings.CutPrefix(key, Prefix)
+	if !ok || !strings.HasPrefix(m.ID, vm+"-") {
+		return Member{}, errs.New(errs.Invalid, "check which process writes keys below "+Prefix, "record %q has the member ID %q, which does not begin with the VM in the key", key, m.ID)
 	}
 	for _, name := range []string{m.ID, m.Region, m.Domain, m.Service, m.Ended.Instance} {
 		if len(name) > maxNameBytes {
--- a/membership/odd_test.go
+++ b/membership/odd_test.go
@@ -24,3 +24,14 @@
 		}
 	}
 }
+
+// TestRecordOfAnotherVMIsRejected guards against a member whose ID a second record takes, and
+// against an ended start in a record that no process of the VM wrote.
+func TestRecordOfAnotherVMIsRejected(t *testing.T) {
+	for id, valid := range map[string]bool{"vm-a-1f2e3d4c": true, "vm-b-1f2e3d4c": false, "vm-a": false, "vm-ab-1f2e3d4c": false, "odd": false, "": false} {
+		value := wire.Encode(&wire.MemberRecord{Id: id, Addr: "10.0.0.9:7001", Region: "r", Domain: "d", Service: "rates"})
+		if m, err := Decode(Key("vm-a"), value, 7); (err == nil) != valid {
+			t.Errorf("ID %q: %+v, %v", id, m, err)
+		}
+	}
+}
--- a/plugin/directory/directory_test.go
+++ b/plugin/directory/directory_test.go
@@ -255,7 +255,7 @@
 func TestMalformedRecordsAreIgnored(t *testing.T) {
 	_, _, url := startStore(t)
 	writeKey(t, url, membership.Key("bad"), []byte("no protobuf"))
-	writeKey(t, url, membership.Key("nowhere"), wire.Encode(&wire.MemberRecord{Id: "x", Addr: "here", Service: "rates"}))
+	writeKey(t, url, membership.Key("nowhere"), wire.Encode(&wire.MemberRecord{Id: "nowhere-1", Addr: "here", Service: "rates"}))
 	n := newFleet().start(t, "a", "127.0.0.1:1", url)
 	n.Fleet.Announce("rates", 1)
 	waitFor(t, "own record", 3*time.Second, func() bool { return len(n.Fleet.Members("rates")) == 1 })
--- a/plugin/directory/ended_test.go
+++ b/plugin/directory/ended_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/dogwoodhatch/dogwoodhatch/kernel"
 	"github.com/dogwoodhatch/dogwoodhatch/membership"
+	"github.com/dogwoodhatch/dogwoodhatch/platform/kv"
 	"github.com/dogwoodhatch/dogwoodhatch/platform/kv/standin"
 	"github.com/dogwoodhatch/dogwoodhatch/wire"
 )
@@ -86,3 +87,33 @@
 		t.Errorf("a valid one: %v", err)
 	}
 }
+
+// TestRecordOfAnotherWriterEndsNoStart replaces the record of a node by one that names the start
+// of its live backend server as ended, as no process of this node wrote it. The start must stay
+// in use, and the node must write its record again.
+func TestRecordOfAnotherWriterEndsNoStart(t *testing.T) {
+	_, _, url := startStore(t)
+	n := newFleet().start(t, "a", "127.0.0.1:1", url)
+	target := &departures{}
+	n.Kernel.Target = target
+	n.Fleet.Announce("rates", 5)
+	waitFor(t, "own record", 4*time.Second, func() bool { return len(n.Fleet.Members("rates")) == 1 })
+	writeKey(t, url, membership.Key("a"), wire.Encode(&wire.MemberRecord{
+		Id: "odd", Addr: "127.0.0.1:9", Region: "r", Service: "rates", EndedInstance: "i-1", EndedBorn: 1000,
+	}))
+	client := kv.NewClient(url, kv.DefaultOptions())
+	waitFor(t, "own record again", 4*time.Second, func() bool {
+		e, err := client.Get(context.Background(), membership.Key("a"))
+		if err != nil {
+			return false
+		}
+		m, err := membership.Decode(e.Key, e.Value, e.Revision)
+		return err == nil && m.ID == n.Kernel.NodeID
+	})
+	if start := target.first(); start.Instance != "" {
+		t.Errorf("ended by the record of another writer: %+v", start)
+	}
+	if members := n.Fleet.Members("rates"); len(members) != 1 || members[0].ID != n.Kernel.NodeID {
+		t.Errorf("members %+v", members)
+	}
+}
