--- a/plugin/directory/follow.go
+++ b/plugin/directory/follow.go
@@ -154,7 +154,7 @@
 		return true
 	}
 	if errs.KindOf(err) == errs.Gone {
-		d.log.Info("store_history_gone", zap.Uint64("after", after))
+		d.log.Info("store_history_gone", zap.Uint64("after", after), zap.Error(err))
 		return true
 	}
 	d.storeFailures.Inc(1)
