Announce a quarantine once, and drop an unused function

The timer that settles a request logged request_quarantined again when an attempt had settled it before. The function Belongs of lifecycle was left from a first form of the check of services. No other change of behaviour.

--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -63,13 +63,6 @@
 // at one address while a report is on its way.
 const maxEndedInstances = 64
 
-// Belongs reports whether a report may be one of the backend server beside the node, whose
-// settings name the service own, "" for any. A backend server of another service may take
-// the place of one that is gone, if routes lead to that service (named).
-func (t *Tracker) Belongs(r *Report, own string, named bool) bool {
-	return own == "" || r.Service == own || named && !t.Serving()
-}
-
 // Apply processes a report and returns its effect. An outdated report has none, unless the
 // current start has lapsed and the one that it has displaced goes on reporting.
 func (t *Tracker) Apply(r Report, now time.Time) Change {
@@ -127,8 +120,8 @@
 	return last.sameStart(r) && r.Sequence > last.Sequence
 }
 
-// Lapse records that the current start has sent no report in time. It serves again with its
-// next report.
+// Lapse records that the current start has sent no report in time. It does not serve until
+// its next report.
 func (t *Tracker) Lapse() { t.lapsed = true }
 
 // older reports whether r, a report of another start, comes from an earlier start
--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -191,11 +191,18 @@
 	}
 }
 
-// settle announces the quarantine of a request if there is reason for one.
+// settle quarantines a request if there is reason for it. The record of one that was
+// quarantined before may be of an earlier version, so it is written in any case.
 func (q *plugin) settle(f quarantine.Fingerprint) {
-	due := false
-	q.update(func(t *quarantine.Table) { due = t.Settle(f, time.Now()) })
-	if due {
+	known, due := false, false
+	q.update(func(t *quarantine.Table) {
+		known = t.Quarantined(f)
+		due = t.Settle(f, time.Now())
+	})
+	switch {
+	case known:
+		go q.writeRecord(f)
+	case due:
 		q.announceQuarantine(f)
 	}
 }
