Bound the answers that the command and the load tool read

Operators would see: the command, or the load tool, keeps an answer without end until its memory is used up.

Cause: both read answers whole without a bound.

Change: the command gives up beyond 32 MiB with an error that names the address, the load tool beyond 64 MiB with the verdict unknown.

--- a/apps/dogwoodhatch/client.go
+++ b/apps/dogwoodhatch/client.go
@@ -23,6 +23,9 @@
 // arrives in time.
 const callTimeout = adminapi.DefaultChangeTimeout + 5*time.Second
 
+// maxResponseBytes bounds the body of a response. The members of 30,000 nodes take about 10 MB.
+const maxResponseBytes = 32 << 20
+
 // response is the complete HTTP response of a node.
 type response struct {
 	status int
@@ -53,10 +56,13 @@
 		return response{}, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return response{}, err
 	}
+	if len(text) > maxResponseBytes {
+		return response{}, fmt.Errorf("response of %s exceeds %d bytes; check that it is the address of a node", env.Node, maxResponseBytes)
+	}
 	return response{resp.StatusCode, resp.Header.Get("ETag"), text}, nil
 }
 
--- a/load/client.go
+++ b/load/client.go
@@ -102,6 +102,11 @@
 	return a
 }
 
+// maxBodyBytes bounds the body of an answer.
+const maxBodyBytes = 64 << 20
+
+var errBodyTooLarge = errors.New("the body of the answer exceeds 64 MiB")
+
 // roundTrip sends one attempt and reads the complete answer.
 func (c *client) roundTrip(ctx context.Context, s *submission, id string, n int) reply {
 	ctx, cancel := context.WithTimeout(ctx, s.class.Timeout+c.grace)
@@ -115,7 +120,10 @@
 		return reply{err: err, expired: errors.Is(err, context.DeadlineExceeded)}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
+	if err == nil && len(body) > maxBodyBytes {
+		err = errBodyTooLarge
+	}
 	return reply{
 		status:  resp.StatusCode,
 		header:  resp.Header,
